Count a prompt as read from the first event of its answer

Cause: a router noted who had read a prompt at the end of the answer, one to three seconds after the upstream had read it. Ruled out: readings that overlap (under 2,000 tokens).

The larger cause is that other routers' readings are not known.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -22,10 +22,10 @@
 from ..routing.upstream_loads import ExchangeEnd, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
-from ..upstreams.types import Instance
+from ..upstreams.types import Instance, ReportedLoad
 from .crashwatch import CrashWatch, fingerprint_of
 from .dialect import Dialect
-from .exchange import AnswerPassage, Exchange
+from .exchange import AnswerPassage, Exchange, ExchangeObserver
 from .gate import Admitted, EntryGate
 from .outcome import Attempted, Ending, may_try_again
 from .types import Answer, AnswerSink, Handover, RoutedRequest
@@ -67,7 +67,7 @@
     clock: Clock
 
 
-class Attempts:
+class Attempts(ExchangeObserver):
     """The attempts of one request.
 
     :ivar passage: what the caller has received
@@ -96,7 +96,7 @@
             self.passage,
             shared.dialect,
             shared.pool,
-            shared.loads.report,
+            self,
         )
         self._tried: set[str] = set()
         self._made = 0
@@ -162,6 +162,14 @@
             return False
         return self._shared.retries.spend(self._admitted.service)
 
+    def reported(self, instance: Instance, load: ReportedLoad) -> None:
+        """Take what an upstream says of its load."""
+        self._shared.loads.report(instance, load)
+
+    def began(self, instance: Instance) -> None:
+        """Note who has read the prompt; its answer may take seconds more."""
+        self._shared.memory.note(self._request.shared, instance)
+
     @property
     def _runs_once(self) -> bool:
         return self._admitted.route.repeatability is Repeatability.ONCE
@@ -193,7 +201,6 @@
         if isinstance(attempted.result, Answer):
             self.failure = attempted.result
         if attempted.ending is Ending.ANSWERED:
-            shared.memory.note(self._request.shared, instance)
             shared.crashes.succeeded(self.fingerprint)
         elif attempted.ending is Ending.BROKEN:
             shared.crashes.cut(self.fingerprint, instance, began)
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -6,10 +6,10 @@
 event by event.
 """
 
-__all__ = ('AnswerPassage', 'Exchange')
+__all__ = ('AnswerPassage', 'Exchange', 'ExchangeObserver')
 
 import asyncio
-from collections.abc import Callable
+from abc import ABC, abstractmethod
 from datetime import timedelta
 
 from ..upstreams.connection import UpstreamConnection
@@ -71,11 +71,23 @@
         self._sink.abort()
 
 
+class ExchangeObserver(ABC):
+    """Learns from an answer while it comes; override both methods."""
+
+    @abstractmethod
+    def reported(self, instance: Instance, load: ReportedLoad) -> None:
+        """Take what an upstream says of its load."""
+
+    @abstractmethod
+    def began(self, instance: Instance) -> None:
+        """Take that an upstream has read the prompt and answers."""
+
+
 class Exchange:
     """Runs attempts for one request.
 
     :ivar facts: what the last answer's head said; ``None`` without one
-    :param report: takes what an upstream says of its load, at once
+    :param observer: is told at once what the answer's head shows
     :ivar in_doubt: the request may have run, by all attempts so far
     """
 
@@ -85,7 +97,7 @@
         passage: AnswerPassage,
         dialect: Dialect,
         pool: ConnectionPool,
-        report: Callable[[Instance, ReportedLoad], None],
+        observer: ExchangeObserver,
     ) -> None:
         self.facts: AnswerFacts | None = None
         self.in_doubt = False
@@ -93,7 +105,7 @@
         self._passage = passage
         self._dialect = dialect
         self._pool = pool
-        self._report = report
+        self._observer = observer
 
     async def run(
         self,
@@ -155,15 +167,17 @@
             return Attempted(Ending.SILENT, 'no answer in time')
         self.facts = self._dialect.read_answer(head)
         if self.facts.load is not None:
-            self._report(instance, self.facts.load)
+            self._observer.reported(instance, self.facts.load)
+        flaw = self._flaw(self.facts)
+        if flaw:
+            return self._broken(flaw)
+        if _is_success(self.facts):
+            self._observer.began(instance)
         return await self._take(connection, self.facts)
 
     async def _take(
         self, connection: UpstreamConnection, facts: AnswerFacts
     ) -> Attempted:
-        flaw = self._flaw(facts)
-        if flaw:
-            return self._broken(flaw)
         try:
             if facts.not_run or facts.status == HTTP_MISDIRECTED:
                 return await _take_refusal(connection, facts)
