Share the readers of a prompt through a home router of its subject

Cause: a router knew only the readings that it had sent itself and guessed the others by the common order.

Each subject has a home by rendezvous hashing, which is told of first readings and asked once for each pair of router and subject that is new: two messages a pair however many routers there are. Ruled out: gossip to all routers, which grows with their number.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -17,7 +17,7 @@
 from ..clock import Clock
 from ..routes.types import Repeatability
 from ..routing.affinity import AffinityPlacer, Demand, PlacedUpstream
-from ..routing.prompt_memory import PromptMemory
+from ..routing.prompt_memory import PromptKnowledge
 from ..routing.retryshare import RetryShare
 from ..routing.upstream_loads import ExchangeEnd, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
@@ -60,7 +60,7 @@
     registry: UpstreamRegistry
     placer: AffinityPlacer
     loads: UpstreamLoads
-    memory: PromptMemory
+    prompts: PromptKnowledge
     retries: RetryShare
     pool: ConnectionPool
     dialect: Dialect
@@ -168,7 +168,7 @@
 
     def began(self, instance: Instance) -> None:
         """Note who has read the prompt; its answer may take seconds more."""
-        self._shared.memory.note(self._request.shared, instance)
+        self._shared.prompts.note(self._request.shared, instance.incarnation)
 
     @property
     def _runs_once(self) -> bool:
--- a/src/bergamotshed/forwarding/forwarder.py
+++ b/src/bergamotshed/forwarding/forwarder.py
@@ -71,7 +71,7 @@
         self, request: RoutedRequest, admitted: Admitted, attempts: Attempts
     ) -> Forwarded:
         while True:
-            placed = self._place(attempts)
+            placed = await self._place_informed(attempts)
             if isinstance(placed, Refused):
                 return _given_up(attempts, placed)
             organisation = self._shared.gate.find_organisation(
@@ -87,6 +87,16 @@
             if not attempts.may_go_on(attempted):
                 return _last_result(attempts, attempted)
 
+    async def _place_informed(
+        self, attempts: Attempts
+    ) -> PlacedUpstream | Refused:
+        """Choose an upstream by what the fleet knows of the prompt."""
+        placed = self._place(attempts)
+        if isinstance(placed, PlacedUpstream) and placed.unread:
+            await self._shared.prompts.learn(attempts.demand.shared[-1])
+            return self._place(attempts)
+        return placed
+
     def _place(self, attempts: Attempts) -> PlacedUpstream | Refused:
         """Choose an upstream; the one that answered with a failure is tried
         again where there is no other.
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -36,11 +36,11 @@
 from ..roster.types import RosterEntry
 from ..routers.crashes import CrashExchange
 from ..routers.mesh import PeerMesh
+from ..routers.prompthomes import PromptHomes
 from ..routers.pulse import Pulse
 from ..routes.holder import RoutingHolder
 from ..routing.affinity import AffinityPlacer
 from ..routing.cache_source import CacheSources
-from ..routing.prompt_memory import PromptMemory
 from ..routing.quarantine import Quarantine
 from ..routing.retryshare import RetryShare, RetryShareOptions
 from ..routing.upstream_loads import UpstreamLoads
@@ -158,6 +158,13 @@
     traffic = Traffic(clock)
     mesh = _build_mesh(entry, clock, traffic)
     quarantine = Quarantine(clock, CRASHES_TOLERATED, CRASH_MEMORY)
+    pulse = Pulse(
+        mesh,
+        entry.name,
+        roster.routers,
+        Condition(_gate_options(settings).keyed_age, routing, stop).beat,
+        clock,
+    )
     return Knowledge(
         store=store,
         health=health,
@@ -167,13 +174,8 @@
         roster=roster,
         quarantine=quarantine,
         crashes=CrashExchange(entry.name, mesh, roster, quarantine, clock),
-        pulse=Pulse(
-            mesh,
-            entry.name,
-            roster.routers,
-            Condition(_gate_options(settings).keyed_age, routing, stop).beat,
-            clock,
-        ),
+        pulse=pulse,
+        prompts=PromptHomes(entry.name, mesh, pulse.heard, clock),
         followers=_build_followers(
             _followed(settings, routing, registry, roster),
             store,
@@ -261,7 +263,6 @@
 ) -> Collaborators:
     rng = random.Random()
     loads = UpstreamLoads(clock)
-    memory = PromptMemory(clock)
     pool = ConnectionPool(PoolOptions(), clock)
     return Collaborators(
         gate=EntryGate(
@@ -276,13 +277,13 @@
         placer=AffinityPlacer(
             knowledge.registry,
             loads,
-            CacheSources(knowledge.registry, loads, memory),
+            CacheSources(knowledge.registry, loads, knowledge.prompts.memory),
             lambda service: _most_in_flight(knowledge, service),
             live.current.node.domain,
             rng.random,
         ),
         loads=loads,
-        memory=memory,
+        prompts=knowledge.prompts,
         retries=RetryShare(
             lambda: _retry_options(live.current),
             knowledge.roster.count,
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -21,6 +21,7 @@
 from ..process.logstream import LogStream
 from ..process.tasks import BackgroundTask
 from ..sockets import Listeners, watched_socket
+from ..store.follower import wait_until_listed
 from ..telemetry import setup_stream
 from .composition import build_gateway
 from .live import LiveSettings
@@ -95,7 +96,8 @@
     await gateway.health.start()
     await gateway.operators.start()
     await _run_all(gateway, stream.run, *gateway.tasks)
-    await gateway.learn(START_PATIENCE)
+    followers = gateway.knowledge.followers.values()
+    await wait_until_listed(followers, START_PATIENCE)
     await gateway.directory.start(listeners.sockets[addresses.directory])
     await gateway.edge.start(
         listeners.sockets[addresses.callers], listeners.since
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -7,10 +7,8 @@
 
 __all__ = ('Gateway', 'Knowledge', 'Observed', 'Run')
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from datetime import timedelta
 
 from ..clock import Clock
 from ..edge.directory import InfoServer
@@ -24,6 +22,7 @@
 from ..roster.announcer import Announcer
 from ..roster.roster import Roster
 from ..routers.crashes import CrashExchange
+from ..routers.prompthomes import PromptHomes
 from ..routers.pulse import Pulse
 from ..routes.holder import RoutingHolder
 from ..routing.quarantine import Quarantine
@@ -50,6 +49,7 @@
     quarantine: Quarantine
     crashes: CrashExchange
     pulse: Pulse
+    prompts: PromptHomes
     followers: dict[Topic, TopicFollower]
 
 
@@ -86,16 +86,6 @@
         """Return the settings in force."""
         return self.live.current
 
-    async def learn(self, patience: timedelta) -> None:
-        """Wait for the first lists from the store, at most so long."""
-        listed = [
-            asyncio.ensure_future(follower.listed.wait())
-            for follower in self.knowledge.followers.values()
-        ]
-        _, late = await asyncio.wait(listed, timeout=patience.total_seconds())
-        for waiting in late:
-            waiting.cancel()
-
     def is_ready(self) -> bool:
         """Return whether requests are taken."""
         return not self.unready_reason
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -33,6 +33,7 @@
 from msgspec import Struct
 
 from .claimmessages import ClaimAnswer, ClaimAsk, ClaimEnd, ClaimEnded
+from .promptmessages import PromptRead, Readers, ReadersAsk
 
 #: Version of the protocol, told in the first message to a peer.
 PROTOCOL = 1
@@ -255,4 +256,7 @@
     | CrashPull
     | Crashes
     | MemoryHandover
+    | PromptRead
+    | Readers
+    | ReadersAsk
 )
--- a/src/bergamotshed/routers/pulse.py
+++ b/src/bergamotshed/routers/pulse.py
@@ -63,6 +63,16 @@
         """Return the routers that were listed and are not heard."""
         return self._silent
 
+    def heard(self) -> tuple[str, ...]:
+        """Return the routers that stay and live, sorted, this one included."""
+        return tuple(
+            sorted(
+                node.name
+                for node in self._nodes()
+                if not node.leaving and node.name not in self._silent
+            )
+        )
+
     async def run(self) -> None:
         """Beat until cancelled."""
         await self._mesh.start()
--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -55,12 +55,14 @@
     :ivar load: its requests as counted here
     :ivar source: another upstream that has read the subject, where the
         chosen one has not; ``None`` if nothing is known of one
+    :ivar unread: the chosen one is not known to have read the subject
     """
 
     instance: Instance
     first_choice: bool
     load: int
     source: Instance | None = None
+    unread: bool = False
 
 
 class AffinityPlacer:
@@ -134,7 +136,8 @@
             return self._least_loaded(candidates)
         placed = self._by_subject(demand.shared[-1], candidates)
         source = self._sources.find(demand.shared, placed.instance)
-        return replace(placed, source=source)
+        unread = not self._sources.has_read(demand.shared, placed.instance)
+        return replace(placed, source=source, unread=unread)
 
     def _by_subject(
         self, subject: str, candidates: Sequence[Instance]
--- a/src/bergamotshed/routing/cache_source.py
+++ b/src/bergamotshed/routing/cache_source.py
@@ -51,13 +51,17 @@
         self._loads = loads
         self._memory = memory
 
+    def has_read(self, shared: Sequence[str], chosen: Instance) -> bool:
+        """Tell whether the chosen upstream is known to keep the subject."""
+        return self._memory.has_read(shared[-1], chosen.incarnation)
+
     def find(self, shared: Sequence[str], chosen: Instance) -> Instance | None:
         """Return another upstream that may have read what the chosen one
         has not; ``None`` if that is likely nothing.
 
         :param shared: the parts of the prompt that others begin with too
         """
-        if not shared or self._memory.has_read(shared[-1], chosen):
+        if not shared or self.has_read(shared, chosen):
             return None
         for name in self._likely_readers(shared, chosen):
             source = self._listed.known.get(name)
@@ -72,24 +76,25 @@
     ) -> Iterator[str]:
         """Give names, the likeliest first.
 
-        Beside what this router sent there is the order by which all routers
+        Beside the known readers there is the order by which all routers
         choose; the upstreams that leave are still in it.
         """
         subject = shared[-1]
         order = subject_order(subject, self._listed.names(chosen.service))
-        yield from self._sent(subject)
+        yield from self._known_readers(subject)
         if order[0] != chosen.name:
             yield order[0]
         for part in reversed(shared[:-1]):
-            if self._memory.has_read(part, chosen):
+            if self._memory.has_read(part, chosen.incarnation):
                 break
-            yield from self._sent(part)
+            yield from self._known_readers(part)
         yield from order[1:2]
 
-    def _sent(self, part: str) -> Iterator[str]:
+    def _known_readers(self, part: str) -> Iterator[str]:
         known = self._listed.known
-        for name, born in self._memory.readers(part):
-            if name in known and known[name].born == born:
+        for reader in self._memory.readers(part):
+            name, _ = reader
+            if name in known and known[name].incarnation == reader:
                 yield name
 
 
--- a/src/bergamotshed/routing/prompt_memory.py
+++ b/src/bergamotshed/routing/prompt_memory.py
@@ -2,21 +2,22 @@
 bergamotshed.routing.prompt_memory
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Which upstreams have read a shared prompt, as far as this router sent it.
+Which upstreams have read a shared prompt, as far as this router knows.
 
 An upstream that reads a prompt for the first time can copy it from one that
 has read it before, in a fraction of the time. Answers the load of upstreams
 that join, leave or are full: their subjects move to others.
 """
 
-__all__ = ('PromptMemory',)
+__all__ = ('MOST_SUBJECTS', 'PromptKnowledge', 'PromptMemory')
 
+from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Sequence
 from datetime import timedelta
 
 from ..clock import Clock
-from ..upstreams.types import Instance
+from ..upstreams.types import Incarnation
 
 #: How long an upstream is taken to keep a prompt that it has not met again.
 #: A wrong guess costs a fruitless question between two upstreams.
@@ -24,7 +25,19 @@
 #: Subjects that are remembered; about 200 bytes each.
 MOST_SUBJECTS = 50_000
 
-_Readers = dict[tuple[str, int], float]
+_Readers = dict[Incarnation, float]
+
+
+class PromptKnowledge(ABC):
+    """Shares who has read a prompt with other routers; override both."""
+
+    @abstractmethod
+    def note(self, parts: Sequence[str], reader: Incarnation) -> None:
+        """Note that an upstream has read these parts now."""
+
+    @abstractmethod
+    async def learn(self, subject: str) -> None:
+        """Remember the readers that other routers know of."""
 
 
 class PromptMemory:
@@ -39,30 +52,30 @@
         """Return how many subjects are remembered."""
         return len(self._subjects)
 
-    def note(self, parts: Sequence[str], instance: Instance) -> None:
+    def note(self, parts: Sequence[str], reader: Incarnation) -> None:
         """Note that an upstream has read these parts now."""
         for part in parts:
-            self._note(part, instance)
+            self._note(part, reader)
 
-    def _note(self, subject: str, instance: Instance) -> None:
+    def _note(self, subject: str, reader: Incarnation) -> None:
         readers = self._subjects.pop(subject, None) or {}
-        readers.pop(_key(instance), None)
-        readers[_key(instance)] = self._clock.monotonic()
+        readers.pop(reader, None)
+        readers[reader] = self._clock.monotonic()
         self._subjects[subject] = readers
         if len(self._subjects) > self._most:
             self._subjects.popitem(last=False)
 
-    def has_read(self, subject: str, instance: Instance) -> bool:
+    def has_read(self, subject: str, reader: Incarnation) -> bool:
         """Tell whether an upstream is taken to keep a subject."""
         readers = self._subjects.get(subject)
         if readers is None:
             return False
-        read_at = readers.get(_key(instance))
+        read_at = readers.get(reader)
         return read_at is not None and self._is_fresh(read_at)
 
-    def readers(self, subject: str) -> list[tuple[str, int]]:
-        """Return the names and births of the upstreams that keep a subject,
-        the most recent reader first.
+    def readers(self, subject: str) -> list[Incarnation]:
+        """Return the upstreams that keep a subject, the most recent reader
+        first.
         """
         readers = self._subjects.get(subject, {})
         return [
@@ -74,7 +87,3 @@
     def _is_fresh(self, read_at: float) -> bool:
         age = self._clock.monotonic() - read_at
         return age < KEPT_FOR.total_seconds()
-
-
-def _key(instance: Instance) -> tuple[str, int]:
-    return (instance.name, instance.born)
--- a/src/bergamotshed/routing/upstream_loads.py
+++ b/src/bergamotshed/routing/upstream_loads.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from ..clock import Clock
-from ..upstreams.types import Instance, ReportedLoad
+from ..upstreams.types import Incarnation, Instance, ReportedLoad
 
 #: First and longest time for which a failing upstream gets no requests while
 #: others can take them; it doubles with each failure in a row.
@@ -66,15 +66,14 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._loads: dict[tuple[str, int], UpstreamLoad] = {}
+        self._loads: dict[Incarnation, UpstreamLoad] = {}
 
     def of(self, instance: Instance) -> UpstreamLoad:
         """Return the load of an upstream; it starts at nothing."""
-        key = (instance.name, instance.born)
-        load = self._loads.get(key)
+        load = self._loads.get(instance.incarnation)
         if load is None:
             load = UpstreamLoad()
-            self._loads[key] = load
+            self._loads[instance.incarnation] = load
         return load
 
     def is_ejected(self, instance: Instance) -> bool:
@@ -125,7 +124,7 @@
 
     def keep(self, instances: list[Instance]) -> None:
         """Forget the idle upstreams that are not among these."""
-        kept = {(instance.name, instance.born) for instance in instances}
+        kept = {instance.incarnation for instance in instances}
         self._loads = {
             key: load
             for key, load in self._loads.items()
--- a/src/bergamotshed/store/follower.py
+++ b/src/bergamotshed/store/follower.py
@@ -5,11 +5,12 @@
 Keeps a consumer up to date with one topic for as long as the process runs.
 """
 
-__all__ = ('FollowPace', 'TopicFollower')
+__all__ = ('FollowPace', 'TopicFollower', 'wait_until_listed')
 
 import asyncio
 import math
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -153,3 +154,15 @@
                 detail=detail,
             )
         self._reachable = reachable
+
+
+async def wait_until_listed(
+    followers: Iterable[TopicFollower], patience: timedelta
+) -> None:
+    """Wait until every topic is known, at most so long."""
+    listed = [
+        asyncio.ensure_future(follower.listed.wait()) for follower in followers
+    ]
+    _, late = await asyncio.wait(listed, timeout=patience.total_seconds())
+    for waiting in late:
+        waiting.cancel()
--- a/src/bergamotshed/upstreams/types.py
+++ b/src/bergamotshed/upstreams/types.py
@@ -8,6 +8,7 @@
 __all__ = (
     'AnswerHead',
     'Headers',
+    'Incarnation',
     'Instance',
     'ReportedLoad',
     'UpstreamAnswerBroken',
@@ -22,6 +23,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+#: Name of an upstream, and the time of its start as in :class:`Instance`.
+Incarnation = tuple[str, int]
+
 
 class UpstreamError(BergamotshedError):
     """Base of the errors of one exchange with an upstream."""
@@ -64,6 +68,11 @@
     sequence: int = 0
     models: frozenset[str] = frozenset()
 
+    @property
+    def incarnation(self) -> 'Incarnation':
+        """Return what tells this start from all others."""
+        return (self.name, self.born)
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
--- a/tests/gateway/test_prompts.py
+++ b/tests/gateway/test_prompts.py
@@ -29,7 +29,7 @@
         speaking = asyncio.create_task(
             speak(made.port, '/stream/a', headers=PROMPT)
         )
-        memory = made.gateway.shared.memory
+        memory = made.gateway.knowledge.prompts.memory
         await until(lambda: memory.readers('b2') == [('i-0', 1)])
         assert not speaking.done()
         speaking.cancel()
