Keep the turns of the fair queue when nothing can be started

Cause: a full service is tried once more after each end of a request, in vain. The vain try rotated the organisations back to the one that had just been served and gave it a new quantum, so that slots that came free one by one all went to the first organisation in the queue. Found by a test of the slot homes with a large and a small organisation; the router program's homes use the same queue.

A try that starts nothing now leaves the turns as they are; the next organisation follows as soon as a turn is used up. The new property test fails without the change, the old ones hold.

--- a/src/bergamotshed/routing/fairqueue.py
+++ b/src/bergamotshed/routing/fairqueue.py
@@ -151,19 +151,13 @@
         :param eligible: tells whether an organisation may start any
         :param start: tries to start a request; true if it did
         """
-        for _ in range(2 * len(self._turns)):
-            lane = self._turns[0]
-            if lane.deficit >= 1:
-                ticket = None
-                if eligible(lane.organisation):
-                    ticket = self._first(lane, start)
-                if ticket is not None:
-                    lane.deficit -= 1
-                    self._take_out(lane, ticket)
-                    return ticket
-                lane.deficit = 0
-            self._turns.rotate(-1)
-            self._begin_turn()
+        for lane in tuple(self._turns):
+            ticket = None
+            if eligible(lane.organisation):
+                ticket = self._first(lane, start)
+            if ticket is not None:
+                self._serve(lane, ticket)
+                return ticket
         return None
 
     def longest(self) -> Backlog | None:
@@ -185,6 +179,26 @@
                 return ticket
         return None
 
+    def _serve(self, lane: _Lane, ticket: Ticket) -> None:
+        """Take a request out; the next organisation follows once the turn is
+        used up.
+
+        The organisations before it lose their turn, which they can't use.
+        Where nobody can, all turns stay as they are: a full service is tried
+        after each end of a request.
+        """
+        while self._turns[0] is not lane:
+            self._turns[0].deficit = 0
+            self._turns.rotate(-1)
+            self._begin_turn()
+        if lane.deficit < 1:
+            self._begin_turn()
+        lane.deficit -= 1
+        self._take_out(lane, ticket)
+        if lane.tickets and lane.deficit < 1:
+            self._turns.rotate(-1)
+            self._begin_turn()
+
     def _take_out(self, lane: _Lane, ticket: Ticket) -> None:
         lane.tickets.remove(ticket)
         self._size -= 1
