Let a home grant the slots of services that have few

Where an upstream has fewer slots than there are routers, requests without a prompt ask the home of their service for a slot. It counts all grants, lets requests wait in fair turn up to 0.6 of the target latency, and refuses the rest at once with the time after which there is room. Lost releases end with the request's deadline, those of a silent router with its beats. A router that gets no answer places alone.

The small sites have a slot for each router and are not touched.

Also: callers of a fleet in which no router is ready are told to come back in 0.5 s instead of at once; the state dump shows slots and prompts.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -19,6 +19,7 @@
 from ..routing.affinity import AffinityPlacer, Demand, PlacedUpstream
 from ..routing.prompt_memory import PromptKnowledge
 from ..routing.retryshare import RetryShare
+from ..routing.types import PlacementRequest, SharedSlots
 from ..routing.upstream_loads import ExchangeEnd, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
@@ -35,6 +36,9 @@
 #: minimum.
 PATIENCE_FACTOR = 2.5
 PATIENCE_MIN = timedelta(milliseconds=800)
+#: Part of the target latency for which a request may wait for a slot; the
+#: rest is for the work itself.
+SLOT_WAIT_SHARE = 0.6
 #: Upstreams that a request may fail to reach before it is given up.
 MAX_UNREACHED = 4
 #: Silence after which a caller that leaves tells something of the upstream.
@@ -61,6 +65,7 @@
     placer: AffinityPlacer
     loads: UpstreamLoads
     prompts: PromptKnowledge
+    slots: SharedSlots
     retries: RetryShare
     pool: ConnectionPool
     dialect: Dialect
@@ -117,6 +122,25 @@
             frozenset(self._tried),
         )
 
+    def slot_request(self, unusable: frozenset[str]) -> PlacementRequest:
+        """Return what the home of the service is asked.
+
+        :param unusable: names of the upstreams that must not be chosen
+        """
+        admitted = self._admitted
+        organisation = admitted.organisation
+        left = admitted.until - self._shared.clock.monotonic()
+        return PlacementRequest(
+            self._request.attempt,
+            admitted.service,
+            '' if organisation is None else organisation.name,
+            chat=0,
+            priority=admitted.priority,
+            deadline=timedelta(seconds=max(0, left)),
+            excluded=unusable,
+            patience=admitted.route.target_latency * SLOT_WAIT_SHARE,
+        )
+
     async def make(
         self, placed: PlacedUpstream, admitted: Admitted
     ) -> Attempted:
@@ -230,7 +254,9 @@
             sequence=placed.instance.sequence,
             first_choice=placed.first_choice,
             load=placed.load,
+            prompt_known=not placed.unread,
             cache_source='' if placed.source is None else placed.source.name,
+            slot=None if placed.slot is None else placed.slot.grant,
             configuration_age=round(self._shared.gate.configuration_age, 3),
             ending=attempted.ending.value,
             detail=attempted.detail,
--- /dev/null
+++ b/src/bergamotshed/forwarding/choice.py
@@ -0,0 +1,108 @@
+"""
+bergamotshed.forwarding.choice
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Chooses the upstream of an attempt by what the fleet knows: who has read the
+prompt, or which slot is free where there are few.
+"""
+
+__all__ = ('UpstreamChoice',)
+
+from dataclasses import replace
+from datetime import timedelta
+
+from ..reasons import Reason, Refused
+from ..routing.affinity import PlacedUpstream
+from ..routing.types import Outcome, Placement
+from .attempts import Attempts, Collaborators
+from .outcome import Attempted, Ending
+
+#: When to come back with a request that has crashed upstreams.
+QUARANTINE_RETRY = timedelta(seconds=30)
+
+_RAN = frozenset((Ending.ANSWERED, Ending.FAILED))
+
+
+class UpstreamChoice:
+    """Chooses for one attempt after the other."""
+
+    def __init__(self, shared: Collaborators) -> None:
+        self._shared = shared
+
+    async def choose(self, attempts: Attempts) -> PlacedUpstream | Refused:
+        """Choose an upstream; :meth:`end` must follow."""
+        if self._shared.crashes.is_harmful(attempts.fingerprint):
+            return Refused(Reason.QUARANTINED, QUARANTINE_RETRY)
+        demand = attempts.demand
+        if demand.shared:
+            return await self._choose_reader(attempts)
+        if self._shared.slots.is_scarce(demand.service):
+            reserved = await self._reserve(attempts)
+            if reserved is not None:
+                return reserved
+        return self._place(attempts)
+
+    def end(
+        self, placed: PlacedUpstream, attempted: Attempted | Refused | None
+    ) -> None:
+        """Give back what was reserved for an attempt.
+
+        :param attempted: how it ended; a refusal if it was not made, ``None``
+            if it was broken off
+        """
+        if placed.slot is None:
+            return
+        ran = isinstance(attempted, Attempted) and attempted.ending in _RAN
+        self._shared.slots.release(
+            placed.slot, Outcome.DONE if ran else Outcome.CANCELLED
+        )
+
+    async def _choose_reader(
+        self, attempts: Attempts
+    ) -> PlacedUpstream | Refused:
+        placed = self._place(attempts)
+        if isinstance(placed, PlacedUpstream) and placed.unread:
+            await self._shared.prompts.learn(attempts.demand.shared[-1])
+            return self._place(attempts)
+        return placed
+
+    async def _reserve(
+        self, attempts: Attempts
+    ) -> PlacedUpstream | Refused | None:
+        """Reserve a slot; ``None`` if an upstream must be chosen without."""
+        unusable = self._unusable(attempts)
+        if unusable is None:
+            return None
+        slots = self._shared.slots
+        placed = await slots.reserve(attempts.slot_request(unusable))
+        if not isinstance(placed, Placement):
+            return placed
+        instance = self._shared.registry.known.get(placed.upstream.name)
+        if instance is None or instance.leaving:
+            slots.release(placed, Outcome.CANCELLED)
+            return None
+        load = self._shared.loads.of(instance).in_flight
+        return PlacedUpstream(instance, True, load, slot=placed)
+
+    def _unusable(self, attempts: Attempts) -> frozenset[str] | None:
+        """Return the upstreams that failed; ``None`` if none is left."""
+        demand = attempts.demand
+        members = self._shared.registry.members(demand.service)
+        names = {one.name for one in members}
+        failing = {
+            one.name for one in members if self._shared.loads.is_ejected(one)
+        }
+        for unusable in (demand.tried | failing, demand.tried):
+            if names - unusable:
+                return frozenset(unusable)
+        return None
+
+    def _place(self, attempts: Attempts) -> PlacedUpstream | Refused:
+        """Choose alone; the upstream that answered with a failure is tried
+        again where there is no other.
+        """
+        placed = self._shared.placer.place(attempts.demand)
+        if isinstance(placed, Refused) and attempts.failure is not None:
+            demand = replace(attempts.demand, tried=frozenset())
+            return self._shared.placer.place(demand)
+        return placed
--- a/src/bergamotshed/forwarding/forwarder.py
+++ b/src/bergamotshed/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from ..reasons import Reason, Refused
 from ..routing.affinity import PlacedUpstream
 from .attempts import Attempts, Collaborators
+from .choice import UpstreamChoice
 from .gate import Admitted
 from .outcome import Attempted, Ending
 from .types import (
@@ -28,9 +29,6 @@
 #: When to come back after an upstream refused for want of room, before
 #: jitter: a few times the work of a plain call, so that there is room again.
 FULL_RETRY = timedelta(milliseconds=300)
-
-#: When to come back with a request that has crashed upstreams.
-QUARANTINE_RETRY = timedelta(seconds=30)
 JITTER_LOW = 0.5
 JITTER_HIGH = 1.5
 
@@ -50,6 +48,7 @@
 
     def __init__(self, shared: Collaborators) -> None:
         self._shared = shared
+        self._choice = UpstreamChoice(shared)
 
     async def forward(
         self, request: RoutedRequest, sink: AnswerSink
@@ -71,43 +70,39 @@
         self, request: RoutedRequest, admitted: Admitted, attempts: Attempts
     ) -> Forwarded:
         while True:
-            placed = await self._place_informed(attempts)
+            placed = await self._choice.choose(attempts)
             if isinstance(placed, Refused):
                 return _given_up(attempts, placed)
-            organisation = self._shared.gate.find_organisation(
-                request, admitted.route
-            )
-            if isinstance(organisation, Refused):
-                return _given_up(attempts, organisation)
-            attempted = await attempts.make(
-                placed, replace(admitted, organisation=organisation)
-            )
+            attempted: Attempted | Refused | None = None
+            try:
+                attempted = await self._attempt(
+                    request, admitted, attempts, placed
+                )
+            finally:
+                self._choice.end(placed, attempted)
+            if isinstance(attempted, Refused):
+                return _given_up(attempts, attempted)
             if attempted.ending is Ending.ANSWERED and attempted.result:
                 return attempted.result
             if not attempts.may_go_on(attempted):
                 return _last_result(attempts, attempted)
 
-    async def _place_informed(
-        self, attempts: Attempts
-    ) -> PlacedUpstream | Refused:
-        """Choose an upstream by what the fleet knows of the prompt."""
-        placed = self._place(attempts)
-        if isinstance(placed, PlacedUpstream) and placed.unread:
-            await self._shared.prompts.learn(attempts.demand.shared[-1])
-            return self._place(attempts)
-        return placed
-
-    def _place(self, attempts: Attempts) -> PlacedUpstream | Refused:
-        """Choose an upstream; the one that answered with a failure is tried
-        again where there is no other.
-        """
-        if self._shared.crashes.is_harmful(attempts.fingerprint):
-            return Refused(Reason.QUARANTINED, QUARANTINE_RETRY)
-        placed = self._shared.placer.place(attempts.demand)
-        if isinstance(placed, Refused) and attempts.failure is not None:
-            demand = replace(attempts.demand, tried=frozenset())
-            return self._shared.placer.place(demand)
-        return placed
+    async def _attempt(
+        self,
+        request: RoutedRequest,
+        admitted: Admitted,
+        attempts: Attempts,
+        placed: PlacedUpstream,
+    ) -> Attempted | Refused:
+        """Make one attempt, if the caller may still make requests."""
+        organisation = self._shared.gate.find_organisation(
+            request, admitted.route
+        )
+        if isinstance(organisation, Refused):
+            return organisation
+        return await attempts.make(
+            placed, replace(admitted, organisation=organisation)
+        )
 
 
 def _last_result(attempts: Attempts, attempted: Attempted) -> Forwarded:
--- a/src/bergamotshed/forwarding/gate.py
+++ b/src/bergamotshed/forwarding/gate.py
@@ -22,6 +22,9 @@
 #: When to come back to a fleet of which one router can't take the request:
 #: at once, as the next try goes to another router.
 OTHER_ROUTER_RETRY = timedelta(milliseconds=50)
+#: When to come back to a fleet of which no router can take it: the store has
+#: to return first, which routers notice within as much.
+NO_ROUTER_RETRY = timedelta(milliseconds=500)
 #: When to come back where no service is behind a route.
 NO_SERVICE_RETRY = timedelta(seconds=1)
 
@@ -67,6 +70,7 @@
 
     :param options: gives the limits, which a reload may change
     :param confirm: asks the store at once for a newer configuration
+    :param others_ready: tells whether another router takes requests
     """
 
     def __init__(
@@ -75,12 +79,14 @@
         routing: RoutingHolder,
         stop: StopWindow,
         confirm: Callable[[], Awaitable[bool]],
+        others_ready: Callable[[], bool],
         random: Callable[[], float],
     ) -> None:
         self._options = options
         self._routing = routing
         self._stop = stop
         self._confirm_now = confirm
+        self._others_ready = others_ready
         self._confirming: asyncio.Future[bool] | None = None
         self._random = random
 
@@ -96,6 +102,10 @@
             return False
         return self._routing.age < self._options().keyed_age.total_seconds()
 
+    @property
+    def _return_time(self) -> timedelta:
+        return OTHER_ROUTER_RETRY if self._others_ready() else NO_ROUTER_RETRY
+
     async def admit_confirmed(
         self, request: RoutedRequest
     ) -> Admitted | Refused:
@@ -122,7 +132,7 @@
         if request.time_allowed is not None:
             allowed = min(allowed, request.time_allowed)
         if not self._stop.may_begin(allowed):
-            return Refused(Reason.STOPPING, OTHER_ROUTER_RETRY)
+            return Refused(Reason.STOPPING, self._return_time)
         return Admitted(
             route,
             organisation,
@@ -150,7 +160,7 @@
     def _find_route(self, request: RoutedRequest) -> Route | Refused:
         table = self._routing.table
         if table is None:
-            return Refused(Reason.NO_CONFIGURATION, OTHER_ROUTER_RETRY)
+            return Refused(Reason.NO_CONFIGURATION, self._return_time)
         route = table.find(request.host, request.path)
         if route is None:
             return self._deny(Reason.UNKNOWN_ROUTE)
@@ -184,7 +194,7 @@
     def _too_old(self) -> Refused:
         return Refused(
             Reason.STALE_CONFIGURATION,
-            OTHER_ROUTER_RETRY,
+            self._return_time,
             f'last confirmed {self._routing.age:.2f} s ago',
         )
 
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -38,6 +38,7 @@
 from ..routers.mesh import PeerMesh
 from ..routers.prompthomes import PromptHomes
 from ..routers.pulse import Pulse
+from ..routers.slothomes import SlotHomes
 from ..routes.holder import RoutingHolder
 from ..routing.affinity import AffinityPlacer
 from ..routing.cache_source import CacheSources
@@ -176,6 +177,7 @@
         crashes=CrashExchange(entry.name, mesh, roster, quarantine, clock),
         pulse=pulse,
         prompts=PromptHomes(entry.name, mesh, pulse.heard, clock),
+        slots=SlotHomes(entry.name, mesh, pulse, registry, clock),
         followers=_build_followers(
             _followed(settings, routing, registry, roster),
             store,
@@ -270,6 +272,7 @@
             knowledge.routing,
             stop,
             knowledge.followers[Topic.CONFIGURATION].confirm,
+            knowledge.pulse.others_ready,
             rng.random,
         ),
         crashes=CrashWatch(knowledge.quarantine, pool, clock),
@@ -284,6 +287,7 @@
         ),
         loads=loads,
         prompts=knowledge.prompts,
+        slots=knowledge.slots,
         retries=RetryShare(
             lambda: _retry_options(live.current),
             knowledge.roster.count,
--- a/src/bergamotshed/gateway/inspection.py
+++ b/src/bergamotshed/gateway/inspection.py
@@ -42,6 +42,14 @@
     ejected: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SlotState:
+    """The slots of a service of which this router is home."""
+
+    in_flight: dict[str, int]
+    waiting: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestState:
     """Requests at this router, and how they have ended so far."""
@@ -58,6 +66,8 @@
     operators.register('upstreams', lambda: list(_upstreams(gateway)))
     operators.register('routers', lambda: gateway.knowledge.roster.entries)
     operators.register('beats', lambda: gateway.knowledge.pulse.beats)
+    operators.register('slots', lambda: _slots(gateway))
+    operators.register('prompts', lambda: _prompts(gateway))
     operators.register('requests', lambda: _requests(gateway))
     _declare_metrics(gateway)
 
@@ -152,3 +162,16 @@
             for known in knowledge.registry.known.values()
         ],
     )
+
+
+def _slots(gateway: Gateway) -> dict[str, SlotState]:
+    return {
+        service: SlotState(home.in_flight, home.waiting)
+        for service, home in gateway.knowledge.slots.homes.items()
+    }
+
+
+def _prompts(gateway: Gateway) -> dict[str, int]:
+    """Return how many subjects are known, and how many as their home."""
+    prompts = gateway.knowledge.prompts
+    return {'known': len(prompts.memory), 'home_of': prompts.home_of}
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -24,6 +24,7 @@
 from ..routers.crashes import CrashExchange
 from ..routers.prompthomes import PromptHomes
 from ..routers.pulse import Pulse
+from ..routers.slothomes import SlotHomes
 from ..routes.holder import RoutingHolder
 from ..routing.quarantine import Quarantine
 from ..store.follower import TopicFollower
@@ -50,6 +51,7 @@
     crashes: CrashExchange
     pulse: Pulse
     prompts: PromptHomes
+    slots: SlotHomes
     followers: dict[Topic, TopicFollower]
 
 
@@ -112,6 +114,7 @@
     def tidy(self) -> None:
         """Forget what is no longer used and take new limits."""
         self.shared.pool.sweep()
+        self.knowledge.slots.tidy()
         self.shared.loads.keep(list(self.knowledge.registry.known.values()))
         table = self.knowledge.routing.table
         if table is not None:
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -116,6 +116,7 @@
 
     :ivar request: the request id, packed where it is hexadecimal
     :ivar deadline: milliseconds left
+    :ivar patience: milliseconds that it may wait; 0 for until its deadline
     """
 
     request: bytes
@@ -130,6 +131,7 @@
     suspect: bool = False
     preferred: str = ''
     fingerprint: int = 0
+    patience: int = 0
 
 
 class PlaceAnswer(Struct, frozen=True, array_like=True, tag=8):
--- a/src/bergamotshed/routers/placement.py
+++ b/src/bergamotshed/routers/placement.py
@@ -67,6 +67,7 @@
         suspect=request.suspect,
         preferred=request.preferred,
         fingerprint=request.fingerprint,
+        patience=request.patience // MILLISECOND,
     )
 
 
@@ -85,6 +86,7 @@
         suspect=ask.suspect,
         preferred=ask.preferred,
         fingerprint=ask.fingerprint,
+        patience=ask.patience * MILLISECOND,
     )
 
 
--- a/src/bergamotshed/routers/prompthomes.py
+++ b/src/bergamotshed/routers/prompthomes.py
@@ -66,6 +66,11 @@
         mesh.on_notice(PromptRead, self._take)
         mesh.on_question(ReadersAsk, self._answer)
 
+    @property
+    def home_of(self) -> int:
+        """Return of how many subjects with readers this router is home."""
+        return len(self._directory)
+
     def note(self, parts: Sequence[str], reader: Incarnation) -> None:
         """Note that an upstream has read these parts; tell the home of the
         last one, the subject.
--- a/src/bergamotshed/routers/pulse.py
+++ b/src/bergamotshed/routers/pulse.py
@@ -63,6 +63,13 @@
         """Return the routers that were listed and are not heard."""
         return self._silent
 
+    def others_ready(self) -> bool:
+        """Tell whether another router says that it takes requests."""
+        heard = self._heard_at.keys() - self._silent
+        return any(
+            beat.ready for name, beat in self._beats.items() if name in heard
+        )
+
     def heard(self) -> tuple[str, ...]:
         """Return the routers that stay and live, sorted, this one included."""
         return tuple(
--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -19,6 +19,7 @@
 from ..reasons import Reason, Refused
 from ..upstreams.types import Instance
 from .cache_source import CacheSources, Listed, subject_order
+from .types import Placement
 from .upstream_loads import UpstreamLoads
 
 #: An upstream takes a subject's requests up to this multiple of the mean
@@ -56,6 +57,7 @@
     :ivar source: another upstream that has read the subject, where the
         chosen one has not; ``None`` if nothing is known of one
     :ivar unread: the chosen one is not known to have read the subject
+    :ivar slot: what its home reserved, where slots are few
     """
 
     instance: Instance
@@ -63,6 +65,7 @@
     load: int
     source: Instance | None = None
     unread: bool = False
+    slot: Placement | None = None
 
 
 class AffinityPlacer:
--- a/src/bergamotshed/routing/types.py
+++ b/src/bergamotshed/routing/types.py
@@ -10,6 +10,7 @@
     'Placement',
     'PlacementRequest',
     'Placer',
+    'SharedSlots',
     'Upstream',
     'UpstreamState',
 )
@@ -60,6 +61,8 @@
     :ivar suspect: the request was in flight at a crash; it runs apart
     :ivar preferred: upstream named by a placement token, or empty
     :ivar fingerprint: equal for equal requests; 0 if unknown
+    :ivar patience: how long it may wait for a slot, where that is not until
+        its deadline
     """
 
     request: str
@@ -74,6 +77,7 @@
     suspect: bool = False
     preferred: str = ''
     fingerprint: int = 0
+    patience: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,3 +123,21 @@
 
         :param cached: history tokens that the upstream served from cache
         """
+
+
+class SharedSlots(ABC):
+    """Slots that routers share; override all methods."""
+
+    @abstractmethod
+    def is_scarce(self, service: str) -> bool:
+        """Tell whether slots of a service are to be reserved."""
+
+    @abstractmethod
+    async def reserve(
+        self, request: PlacementRequest
+    ) -> Placement | Refused | None:
+        """Ask for a slot; ``None`` if it must be chosen without."""
+
+    @abstractmethod
+    def release(self, placed: Placement, outcome: Outcome) -> None:
+        """Give a slot back."""
--- a/tests/gateway/test_changes.py
+++ b/tests/gateway/test_changes.py
@@ -47,6 +47,20 @@
         assert (await speak(made.port, '/once/a')).status == 200
 
 
+async def test_callers_of_a_fleet_that_cannot_serve_come_back_later() -> None:
+    # Found on trouble-3: in an outage of the store, every router sent its
+    # callers at once to another one, which could not serve them either.
+    async with scene(fine, revoke_ms=1300) as made:
+        made.store.silent = True
+        await until(lambda: not made.gateway.is_ready())
+        alone = await speak(made.port, '/once/a')
+        made.gateway.shared.gate._others_ready = lambda: True
+        beside = await speak(made.port, '/once/a')
+        assert (alone.status, beside.status) == (503, 503)
+        assert float(alone.headers['retry-after']) >= 0.5
+        assert float(beside.headers['retry-after']) < 0.1
+
+
 async def test_a_lost_answer_of_the_store_hides_no_leaving_upstream() -> None:
     # Found in a hunt: a read that was held back for ten seconds got lost in
     # an outage, and the router went on sending to an upstream that had left.
