Tell by the kernel how long a request waited for the start

Cause: a request read in the first 100 ms after a start was taken for as old as the listening socket.

The kernel tells when the last data arrived on a connection; that is the request's arrival.

--- a/src/bergamotshed/edge/server.py
+++ b/src/bergamotshed/edge/server.py
@@ -28,7 +28,7 @@
 from ..process.requests import RequestMetrics
 from ..reasons import Reason, Refused
 from ..routes.types import RequestLimits
-from ..sockets import BACKLOG, listen
+from ..sockets import BACKLOG, listen, quiet_for
 from .answers import bad_request, refusal, undelivered
 from .sink import CallerSink
 
@@ -83,7 +83,6 @@
         self._metrics = metrics
         self._clock = clock
         self._closing = False
-        self._listening_since: float | None = None
         self._caught_up_at = -math.inf
         # Nothing is said to a connection that never asked anything.
         self._heads = HeadTimeouts(options.idle_timeout, b'')
@@ -100,19 +99,13 @@
             max_headers=MAX_HEADERS,
         )
 
-    async def start(
-        self,
-        listening: socket.socket | None = None,
-        since: float | None = None,
-    ) -> None:
+    async def start(self, listening: socket.socket | None = None) -> None:
         """Take callers.
 
         :param listening: listens already; without it, on its own address
-        :param since: since when, in monotonic seconds
         :raises OSError: the address is taken
         """
         loop = asyncio.get_running_loop()
-        self._listening_since = since
         self._caught_up_at = self._clock.monotonic() + CATCH_UP.total_seconds()
         self._listener = await loop.create_server(
             self._connect,
@@ -143,7 +136,7 @@
         return connection
 
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
-        arrived_at = self._arrival()
+        arrived_at = self._arrival(request)
         self._heads.requested(request.protocol)
         self.in_flight += 1
         try:
@@ -154,15 +147,21 @@
             response.force_close()
         return response
 
-    def _arrival(self) -> float:
-        """Return when a request that was just read had arrived at the latest.
+    def _arrival(self, request: BaseRequest) -> float:
+        """Return when a request that was just read had arrived.
 
         One that waited while the process started has that much less time.
         """
         now = self._clock.monotonic()
-        if self._listening_since is not None and now < self._caught_up_at:
-            return self._listening_since
-        return now
+        if now >= self._caught_up_at or request.transport is None:
+            return now
+        connection = request.transport.get_extra_info('socket')
+        try:
+            waited = quiet_for(connection)
+        except OSError as error:
+            log_message('request.arrival_unknown', detail=str(error))
+            return now
+        return now - waited.total_seconds()
 
     async def _answer(
         self, request: BaseRequest, arrived_at: float
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -98,10 +98,8 @@
     await _run_all(gateway, stream.run, *gateway.tasks)
     followers = gateway.knowledge.followers.values()
     await wait_until_listed(followers, START_PATIENCE)
-    await gateway.directory.start(listeners.sockets[addresses.directory])
-    await gateway.edge.start(
-        listeners.sockets[addresses.callers], listeners.since
-    )
+    await gateway.directory.start(listeners[addresses.directory])
+    await gateway.edge.start(listeners[addresses.callers])
     await _run_all(gateway, lambda: _keep_tidy(gateway), gateway.announcer.run)
     log_message('gateway.started', addresses=repr(gateway.settings.addresses))
 
--- a/src/bergamotshed/operators/gateway_command.py
+++ b/src/bergamotshed/operators/gateway_command.py
@@ -12,9 +12,8 @@
 import signal
 from typing import TYPE_CHECKING, ClassVar
 
-from ..clock import SystemClock
 from ..process.libraries import restrain_libraries
-from ..sockets import Listeners
+from ..sockets import listen_to_all
 from .command import Command, CommandFailed, Options, UsageError
 
 if TYPE_CHECKING:
@@ -56,7 +55,7 @@
 def _run(settings: 'GatewaySettings', path: str) -> int:
     """Listen first, and only then load the libraries."""
     addresses = (settings.addresses.callers, settings.addresses.directory)
-    listeners = Listeners.open(addresses, SystemClock())
+    listeners = listen_to_all(addresses)
     # No garbage comes from loading; collections meanwhile find none.
     gc.disable()
     from ..gateway.main import run_gateway
--- a/src/bergamotshed/sockets.py
+++ b/src/bergamotshed/sockets.py
@@ -6,16 +6,22 @@
 that notice a connection which went silent for good.
 """
 
-__all__ = ('BACKLOG', 'Listeners', 'listen', 'watch', 'watched_socket')
+__all__ = (
+    'BACKLOG',
+    'Listeners',
+    'listen',
+    'listen_to_all',
+    'quiet_for',
+    'watch',
+    'watched_socket',
+)
 
 import socket
+import struct
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Protocol
 
-from .clock import Clock
-
 #: Connections that may wait to be accepted: those that callers open within
 #: the second in which a process starts; the kernel's own limit is the same.
 BACKLOG = 4096
@@ -26,30 +32,13 @@
 PROBE_AFTER_S = 1
 PROBE_EVERY_S = 1
 PROBES = 2
+#: Where Linux's ``tcp_info`` has the milliseconds since data arrived.
+LAST_RECEIVED = struct.Struct('=I')
+LAST_RECEIVED_AT = 52
 
 
-@dataclass(frozen=True, slots=True)
-class Listeners:
-    """Sockets that listen before the process can serve.
-
-    A start takes most of a second, mostly for libraries. Callers that come
-    meanwhile wait for its end instead of finding a closed port.
-
-    :ivar since: when the last of them began, in monotonic seconds
-    :ivar sockets: by address
-    """
-
-    since: float
-    sockets: Mapping[str, socket.socket]
-
-    @classmethod
-    def open(cls, addresses: Iterable[str], clock: Clock) -> 'Listeners':
-        """Listen on all addresses.
-
-        :raises OSError: an address is taken
-        """
-        sockets = {address: listen(address) for address in addresses}
-        return cls(clock.monotonic(), sockets)
+#: Sockets that listen, by address.
+Listeners = Mapping[str, socket.socket]
 
 
 class OptionSocket(Protocol):
@@ -58,6 +47,9 @@
     def setsockopt(self, level: int, name: int, number: int) -> Any:
         """Set an option."""
 
+    def getsockopt(self, level: int, name: int, size: int) -> Any:
+        """Return an option."""
+
 
 def watch(
     watched: OptionSocket, unacknowledged: timedelta = UNACKNOWLEDGED_LIMIT
@@ -72,6 +64,17 @@
     watched.setsockopt(tcp, socket.TCP_KEEPCNT, PROBES)
 
 
+def listen_to_all(addresses: Iterable[str]) -> Listeners:
+    """Listen on addresses before the process can serve.
+
+    A start takes most of a second, mostly for libraries. Callers that come
+    meanwhile wait for its end instead of finding a closed port.
+
+    :raises OSError: an address is taken
+    """
+    return {address: listen(address) for address in addresses}
+
+
 def listen(address: str) -> socket.socket:
     """Listen on an address; the kernel holds connections until they are taken.
 
@@ -100,3 +103,16 @@
     made = socket.socket(family, kind, protocol)
     watch(made)
     return made
+
+
+def quiet_for(connection: OptionSocket) -> timedelta:
+    """Return the time since data arrived on a TCP connection.
+
+    :raises OSError: the kernel does not tell
+    """
+    end = LAST_RECEIVED_AT + LAST_RECEIVED.size
+    told = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, end)
+    if len(told) < end:
+        raise OSError('the kernel tells too little of the connection')
+    received = LAST_RECEIVED.unpack_from(told, LAST_RECEIVED_AT)
+    return timedelta(milliseconds=received[0])
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -119,6 +119,8 @@
         assert 'bergamotshed_request_seconds_bucket' in metrics
         _, state = await gateway.get('operators', '/state')
         assert '"i-0"' in state
+        assert '"prompts":{"home_of":0,"known":0}' in state
+        assert '"slots":{}' in state
         _, explained = await gateway.get('operators', '/explain?request=a7')
         assert 'request.attempt' in explained
 
@@ -155,6 +157,40 @@
             assert (await speak(port, '/once/a')).status == 200
 
 
+async def test_a_caller_after_a_slow_start_has_all_its_time(
+    tmp_path: Path,
+) -> None:
+    # Found once in a busy run: the first requests after a start of over a
+    # second were taken for as old as the start, and refused as too late.
+    async with (
+        KeyedStoreStandIn().serving() as store,
+        RawUpstream(fine).serving() as upstream,
+    ):
+        store.pause = 0.25
+        await publish(store, upstream, 300)
+        async with process(tmp_path, store.address) as gateway:
+            port = gateway.ports['callers']
+            await until(lambda: _accepts(port))
+            await until(gateway.is_ready)
+            assert (await speak(port, '/once/a')).status == 200
+
+
+async def test_what_waited_for_a_start_has_less_time(tmp_path: Path) -> None:
+    async with (
+        KeyedStoreStandIn().serving() as store,
+        RawUpstream(fine).serving() as upstream,
+    ):
+        store.pause = 0.2
+        await publish(store, upstream, 20_000)
+        async with process(tmp_path, store.address) as gateway:
+            port = gateway.ports['callers']
+            await until(lambda: _accepts(port))
+            sent = {'Bergamotshed-Deadline-Ms': '10000'}
+            assert (await speak(port, '/once/a', headers=sent)).status == 200
+            left = upstream.requests[0].headers['bergamotshed-deadline-ms']
+            assert int(left) < 9800
+
+
 async def test_a_silent_store_does_not_stop_a_start(tmp_path: Path) -> None:
     async with (
         KeyedStoreStandIn().serving() as store,
