--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,8 @@
 	$(BIN)/flake8 src tools
 	$(BIN)/mypy
 
-# Tests that start processes mostly wait, so the others run beside them.
 unit: $(VENV)/.installed
-	$(BIN)/python -m pytest -m processes & processes=$$!; \
-	$(BIN)/python -m pytest -m "not processes"; others=$$?; \
-	wait $$processes && exit $$others
+	$(BIN)/python -m pytest
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format src tests tools
