Examine a cut run at once, also while another run of the request has the lock

Cause, from eliot messages of two of eight runs of test_poison.py at once: a run that crashed one engine keeps the lock of the fingerprint while it waits at the home for its placement; the home counts the cut of a second run on another engine as a possible crash and starts no third. That second run waited for the lock before its crash was examined, so the home never learnt of the crash. After 3 s the home forgot the cut and started two more runs (four crashes), which kept their places as suspects and waited for the same lock; all ended at the deadline of 60 s with 502 and 503.

Ruled out: starvation. The upstream's restart was seen within 0.23 s in both traces; the load only changed the order of events. Four repeats at once reproduce it without load: 3 of 3 runs of the new test fail before the change.

--- a/src/bergamotshed/dispatch/chat_run.py
+++ b/src/bergamotshed/dispatch/chat_run.py
@@ -111,7 +111,7 @@
         placement = await self._dependencies.placer.place(placement_request)
         if isinstance(placement, Refusal):
             return self._fail(self._failure(placement))
-        if self._suspicion.is_quarantined or self._suspicion.is_held:
+        if self._suspicion.is_quarantined or self._suspicion.must_wait:
             # A crash of another run was reported while this one waited for its
             # placement.
             self._dependencies.placer.release(
@@ -179,7 +179,7 @@
             # A suspect keeps its placement, so that no other run of the same
             # request starts before it is known whether this one crashed
             # the engine.
-            await self._deadline.wait(suspicion.acquire())
+            await suspicion.acquire_if_free()
             if await self._deadline.wait(engine_run.has_crashed()):
                 suspicion.record_crash(
                     crash, attempt.started_at, attempt.cut_at
--- a/src/bergamotshed/dispatch/request_suspicion.py
+++ b/src/bergamotshed/dispatch/request_suspicion.py
@@ -46,6 +46,13 @@
         """Return whether another router investigates a possible crash."""
         return self._quarantine.is_held(self._fingerprint)
 
+    @property
+    def must_wait(self) -> bool:
+        """Return whether a run must not start before it has the lock, or
+        before another router has investigated a possible crash.
+        """
+        return self.is_held or (self.is_suspect and not self._has_lock)
+
     @property
     def is_quarantined(self) -> bool:
         """Return whether the request must not run any more."""
@@ -70,6 +77,15 @@
             await self._locks.acquire(self._fingerprint)
             self._has_lock = True
 
+    async def acquire_if_free(self) -> None:
+        """Lock the fingerprint unless another run has the lock.
+
+        A run that was cut must not wait for the lock before its crash is
+        examined: the run that has the lock may be waiting for that result.
+        """
+        if not self._locks.is_locked(self._fingerprint):
+            await self.acquire()
+
     def release(self) -> None:
         """Release the lock if this run has it."""
         if self._has_lock:
--- a/tests/dispatch/test_poison.py
+++ b/tests/dispatch/test_poison.py
@@ -69,6 +69,18 @@
         assert crashes(bench) == 2
 
 
+async def test_repeats_that_crash_two_engines_at_once_are_both_examined() -> (
+    None
+):
+    """The second run is examined although the first one holds the lock."""
+    async with open_bench(THREE_ENGINES, real_placer=True) as bench:
+        answers = await asyncio.gather(
+            *(send_chat(bench.session, bench.url, POISON) for _ in range(4))
+        )
+        assert [answer.status for answer in answers] == [422] * 4
+        assert crashes(bench) == 2
+
+
 async def test_an_unnoticed_restart_counts_as_a_crash() -> None:
     fast_engines = tuple(
         EngineOptions(f'e{place}', down_s=0) for place in range(3)
