Read the store through a peer of the failure domain

Hypothesis: one router of a failure domain reads each topic, the others ask it over the mesh, so the calls no longer grow with the routers. Offsets stay the store's, and an answer states how long before the question the store was read, so a router falls back to the store at any point, and the age of its configuration is never understated.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -39,6 +39,7 @@
 from ..routers.mesh import PeerMesh
 from ..routers.prompthomes import PromptHomes
 from ..routers.slothomes import SlotHomes
+from ..routers.storerelay import StoreRelay
 from ..routes.current_table import CurrentRoutingTable
 from ..routing.affinity import AffinityPlacer
 from ..routing.cache_source import CacheSources
@@ -187,13 +188,29 @@
         slots=SlotHomes(entry.name, mesh, heartbeats, registry, clock),
         followers=_build_followers(
             _topic_consumers(settings, routing, registry, roster),
-            store,
+            StoreRelay(
+                store,
+                entry.name,
+                mesh,
+                lambda: _live_in_domain(entry, roster, heartbeats),
+                clock,
+            ),
             health,
             clock,
         ),
     )
 
 
+def _live_in_domain(
+    own: RosterEntry, roster: Roster, heartbeats: GatewayHeartbeats
+) -> list[str]:
+    """Return the live routers of this router's failure domain."""
+    in_domain = {
+        entry.name for entry in roster.entries if entry.domain == own.domain
+    }
+    return [name for name in heartbeats.live_routers() if name in in_domain]
+
+
 def _build_followers(
     consumers: dict[Topic, tuple[TopicConsumer, FollowerOptions]],
     store: KeyedStore,
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -39,6 +39,7 @@
     ClaimRequest,
 )
 from .promptmessages import PromptRead, ReadersAnswer, ReadersRequest
+from .storemessages import ChangesAnswer, ChangesRequest
 
 #: Version of the protocol, sent in the first message to a peer.
 PROTOCOL_VERSION = 1
@@ -268,5 +269,7 @@
     | MemoryHandover
     | PromptRead
     | ReadersAnswer
+    | ChangesRequest
+    | ChangesAnswer
     | ReadersRequest
 )
--- /dev/null
+++ b/src/bergamotshed/routers/storerelay.py
@@ -0,0 +1,163 @@
+"""
+bergamotshed.routers.storerelay
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reads topics of the store through a peer, so that the calls to the store don't
+grow with the number of routers.
+
+Offsets are the store's own, so a router changes between its reader and the
+store at any point without missing a change. It reads the store itself while
+its reader does not answer or can't read the store either.
+"""
+
+__all__ = ('StoreRelay',)
+
+import math
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from eliot import log_message
+
+from ..clock import Clock
+from ..routing.store_readers import find_reader
+from ..store.recent_changes import RecentChanges
+from ..store.types import (
+    Changes,
+    Entry,
+    KeyedStore,
+    Listing,
+    StoreError,
+    Topic,
+)
+from .mesh import PeerMesh
+from .messages import Message
+from .storemessages import ChangesAnswer, ChangesRequest
+
+#: How long a reader may take to acknowledge a question, and how much longer
+#: than asked for it may hold the answer back.
+ASK_TIMEOUT = timedelta(milliseconds=100)
+HOLD_MARGIN = timedelta(milliseconds=150)
+#: How long the store is read directly after a reader did not answer.
+READER_RETRY_PAUSE = timedelta(seconds=3)
+#: A reader whose last read of the store is older than this multiple of the
+#: wait asked for does not answer: the store may be lost to it alone.
+MAX_AGE_IN_WAITS = 2
+#: Largest values that are relayed, in bytes; a reader sends one copy to each
+#: router that it serves.
+MAX_RELAYED_BYTES = 16_384
+
+MILLISECOND = timedelta(milliseconds=1)
+MILLISECONDS_PER_SECOND = 1000
+
+
+class StoreRelay(KeyedStore):
+    """Reads changes through the reader of a topic, or from the store.
+
+    :param node: this router's name
+    :param routers: returns the live routers of this failure domain
+    """
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        node: str,
+        mesh: PeerMesh,
+        routers: Callable[[], Sequence[str]],
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._node = node
+        self._mesh = mesh
+        self._routers = routers
+        self._clock = clock
+        self._recent = {topic: RecentChanges() for topic in Topic}
+        self._silent_until: dict[str, float] = {}
+        mesh.on_question(ChangesRequest, self._answer)
+
+    async def newest(self, topic: Topic) -> Listing:
+        """List the newest value of each key, from the store itself."""
+        return await self._store.newest(topic)
+
+    async def put(self, topic: Topic, key: str, value: bytes) -> None:
+        """Write the value of a key."""
+        await self._store.put(topic, key, value)
+
+    async def read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
+        """Read the changes from an offset on.
+
+        A read without a wait is for the present state and goes to the store.
+        """
+        called_at = self._clock.boottime()
+        recent = self._recent[topic]
+        try:
+            changes = await self._read(topic, start, wait)
+        except StoreError:
+            recent.record_failure()
+            raise
+        read_at = called_at - changes.age.total_seconds()
+        recent.record(start, changes, read_at)
+        return changes
+
+    async def _read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
+        reader = find_reader(topic.value, self._node, self._routers())
+        if reader is None or not wait or self._is_silent(reader):
+            return await self._store.read(topic, start, wait)
+        answer = await self._mesh.ask(
+            reader,
+            ChangesRequest(topic.value, start, wait // MILLISECOND),
+            ASK_TIMEOUT,
+            wait + HOLD_MARGIN,
+        )
+        if not isinstance(answer, ChangesAnswer):
+            self._record_silent(reader, topic)
+            return await self._store.read(topic, start, timedelta(0))
+        if not answer.is_known:
+            return await self._store.read(topic, start, wait)
+        return Changes(
+            tuple(Entry(key, value) for key, value in answer.entries),
+            answer.end,
+            is_relayed=True,
+            age=answer.age * MILLISECOND,
+        )
+
+    def _is_silent(self, reader: str) -> bool:
+        return self._silent_until.get(reader, 0) > self._clock.boottime()
+
+    def _record_silent(self, reader: str, topic: Topic) -> None:
+        pause_s = READER_RETRY_PAUSE.total_seconds()
+        self._silent_until[reader] = self._clock.boottime() + pause_s
+        log_message(
+            'store.reader_silent',
+            reader=reader,
+            topic=topic.value,
+            pause_s=pause_s,
+        )
+
+    async def _answer(self, _peer: str, request: ChangesRequest) -> Message:
+        """Answer a peer once there is a change or this router has read."""
+        arrived_at = self._clock.boottime()
+        recent = self._recent[Topic(request.topic)]
+        wait = request.wait * MILLISECOND
+        changes = recent.since(request.start)
+        if changes is not None and not changes.entries:
+            await recent.wait(wait)
+            changes = recent.since(request.start)
+        age_s = arrived_at - recent.read_at
+        if (
+            changes is None
+            or age_s > wait.total_seconds() * MAX_AGE_IN_WAITS
+            or _size(changes) > MAX_RELAYED_BYTES
+        ):
+            return ChangesAnswer(is_known=False)
+        return ChangesAnswer(
+            is_known=True,
+            entries=tuple(
+                (entry.key, entry.value) for entry in changes.entries
+            ),
+            end=changes.end,
+            age=math.ceil(age_s * MILLISECONDS_PER_SECOND),
+        )
+
+
+def _size(changes: Changes) -> int:
+    return sum(len(entry.value) for entry in changes.entries)
--- a/src/bergamotshed/store/follower.py
+++ b/src/bergamotshed/store/follower.py
@@ -112,7 +112,7 @@
         """Make one call and return the pause that follows it."""
         sent_at = self._clock.boottime()
         try:
-            changed = await self._advance(sent_at)
+            must_settle = await self._advance(sent_at)
         except StoreHistoryGone as error:
             log_message(
                 'store.history_gone',
@@ -128,10 +128,10 @@
             return self._backoff.next_pause()
         self._backoff.reset()
         self._record_reachable(is_reachable=True)
-        return self._options.settle if changed else NO_WAIT
+        return self._options.settle if must_settle else NO_WAIT
 
     async def _advance(self, sent_at: float) -> bool:
-        """Make the call; return whether it returned changes."""
+        """Make the call; return whether to pause before the next one."""
         if self._next is None:
             listing = await self._store.newest(self._topic)
             self._health.record_success()
@@ -144,9 +144,12 @@
         wait = self._options.wait if self._is_reachable else NO_WAIT
         changes = await self._store.read(self._topic, self._next, wait)
         self._health.record_success()
-        self._consumer.apply_changes(changes.entries, sent_at)
+        self._consumer.apply_changes(
+            changes.entries, sent_at - changes.age.total_seconds()
+        )
         self._next = changes.end
-        return bool(changes.entries)
+        # A peer that reads for this router gathers changes itself.
+        return bool(changes.entries) and not changes.is_relayed
 
     def _record_reachable(
         self, *, is_reachable: bool, detail: str = ''
--- a/src/bergamotshed/store/types.py
+++ b/src/bergamotshed/store/types.py
@@ -76,10 +76,15 @@
     """Consecutive changes of a topic.
 
     :ivar end: offset from which to read the next changes
+    :ivar is_relayed: a peer has read them
+    :ivar age: how long before this call the store was read; negative if it
+        was read after the call began
     """
 
     entries: tuple[Entry, ...]
     end: int
+    is_relayed: bool = False
+    age: timedelta = timedelta(0)
 
 
 class KeyedStore(ABC):
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -105,6 +105,20 @@
     assert [sent_at for _, _, sent_at in consumer.log] == [0, 0, 2]
 
 
+async def test_a_relayed_read_confirms_as_of_the_peer_s_call() -> None:
+    settle = timedelta(seconds=1)
+    relayed = Changes(
+        (Entry('a', b'1'),), 1, is_relayed=True, age=timedelta(seconds=0.5)
+    )
+    _, consumer = await follow(
+        Listing((), 0),
+        relayed,
+        relayed,
+        options=FollowerOptions(timedelta(0), settle),
+    )
+    assert [sent_at for _, _, sent_at in consumer.log] == [0, -0.5, -0.5]
+
+
 async def test_continues_at_the_same_offset_after_a_failure() -> None:
     store, consumer = await follow(
         Listing((), 5), StoreUnavailable('no answer'), Changes((), 5)
