--- a/src/bergamotshed/control/claimrepairs.py
+++ b/src/bergamotshed/control/claimrepairs.py
@@ -9,10 +9,13 @@
 __all__ = ('ClaimRepairs', 'ClaimRun')
 
 import asyncio
+from collections.abc import Sized
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 
+from eliot import log_message
+
 from ..clock import Clock
 from ..log.types import LogError
 from ..routing.claimtable import SettledEntry, VoidedEntry
@@ -75,7 +78,7 @@
     def abandon(self, run: ClaimRun) -> None:
         """Abandon a run, and void its claim if that holds the key."""
         may_hold = run.is_appended or run.may_append_until > 0
-        if may_hold and len(self._abandoned) < MAX_PENDING:
+        if may_hold and _has_room(self._abandoned, run, 'abandoned run'):
             self._abandoned[run.number] = run
             self._start()
 
@@ -90,7 +93,8 @@
 
     def enqueue(self, run: ClaimRun, entry: SettledEntry | VoidedEntry) -> None:
         """Append an entry, and retry until the log accepts it."""
-        if len(self._pending_entries) < MAX_PENDING:
+        kind = type(entry).__name__
+        if _has_room(self._pending_entries, run, kind):
             self._pending_entries[run.number] = _PendingEntry(run, entry)
             self._start()
 
@@ -139,3 +143,16 @@
             self.enqueue(run, VoidedEntry(run.key, run.number))
         elif run.may_append_until <= self._clock.monotonic():
             self._abandoned.pop(run.number)
+
+
+def _has_room(pending: Sized, run: ClaimRun, kind: str) -> bool:
+    """Return whether one more may be pending; log if it is dropped.
+
+    :param kind: what would be dropped
+    """
+    if len(pending) < MAX_PENDING:
+        return True
+    log_message(
+        'claims.repair_dropped', run=run.number, kind=kind, limit=MAX_PENDING
+    )
+    return False
--- a/src/bergamotshed/dispatch/chat_run.py
+++ b/src/bergamotshed/dispatch/chat_run.py
@@ -20,7 +20,7 @@
     Finish,
 )
 from ..reasons import Reason, Refusal
-from ..routing.retry import NextStep, next_step
+from ..routing.retry import LAST_ATTEMPT_REASONS, NextStep, next_step
 from ..routing.types import Outcome
 from . import failures
 from .attempt import Attempt, ChatDependencies
@@ -195,7 +195,7 @@
         if self._suspicion.is_quarantined:
             return Refusal(Reason.QUARANTINED)
         if self._attempt_count >= MAX_ATTEMPTS:
-            return Refusal(Reason.ENGINE_REFUSED, retry_after)
+            return Refusal(LAST_ATTEMPT_REASONS[outcome], retry_after)
         is_lost = outcome is Outcome.CUT
         if not self._dependencies.budget.spend(
             self._spec.service, can_overdraw=is_lost
--- a/src/bergamotshed/dispatch/plain_run.py
+++ b/src/bergamotshed/dispatch/plain_run.py
@@ -13,7 +13,12 @@
 from ..clock import Clock
 from ..fleet import Service
 from ..reasons import Reason, Refusal
-from ..routing.retry import NextStep, RetryBudget, next_step
+from ..routing.retry import (
+    LAST_ATTEMPT_REASONS,
+    NextStep,
+    RetryBudget,
+    next_step,
+)
 from ..routing.types import Outcome, Placement, PlacementRequest, Placer
 from ..services.types import (
     ServiceAnswer,
@@ -149,7 +154,7 @@
         if step is NextStep.GIVE_UP:
             return Refusal(Reason.ENGINE_CUT)
         if self._attempt_count >= MAX_ATTEMPTS:
-            return Refusal(Reason.ENGINE_REFUSED, retry_after)
+            return Refusal(LAST_ATTEMPT_REASONS[outcome], retry_after)
         if not self._dependencies.budget.spend(self._service.name):
             return Refusal(Reason.RETRY_BUDGET, retry_after)
         return None
--- a/src/bergamotshed/routers/inbox.py
+++ b/src/bergamotshed/routers/inbox.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import cast
 
 import zmq
@@ -149,7 +150,14 @@
             self._answer(key, handler(peer, envelope.message))
         )
         self._answer_tasks[key] = task
-        task.add_done_callback(lambda _: self._answer_tasks.pop(key, None))
+        task.add_done_callback(partial(self._forget_answer, key))
+
+    def _forget_answer(
+        self, key: _QuestionKey, task: 'asyncio.Task[None]'
+    ) -> None:
+        # A restarted peer numbers its questions from the start again.
+        if self._answer_tasks.get(key) is task:
+            self._answer_tasks.pop(key)
 
     async def _answer(
         self, key: _QuestionKey, handler_call: Awaitable[Message]
--- a/src/bergamotshed/routing/retry.py
+++ b/src/bergamotshed/routing/retry.py
@@ -6,10 +6,11 @@
 after each outcome of an attempt.
 """
 
-__all__ = ('NextStep', 'RetryBudget', 'next_step')
+__all__ = ('LAST_ATTEMPT_REASONS', 'NextStep', 'RetryBudget', 'next_step')
 
 from enum import Enum
 
+from ..reasons import Reason
 from .types import Outcome
 
 RETRIES_PER_FIRST_ATTEMPT = 0.1
@@ -17,6 +18,13 @@
 MAX_BALANCE_RETRIES = 10.0
 MAX_DEBT_RETRIES = 64.0
 
+#: Why a request failed whose last allowed attempt ended in this way.
+LAST_ATTEMPT_REASONS = {
+    Outcome.REFUSED: Reason.ENGINE_REFUSED,
+    Outcome.UNREACHABLE: Reason.ENGINE_UNREACHED,
+    Outcome.CUT: Reason.ENGINE_CUT,
+}
+
 
 class NextStep(Enum):
     """What to do after an attempt."""
--- a/tests/dispatch/test_chat.py
+++ b/tests/dispatch/test_chat.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from bergamotshed.dispatch.chat_run import MAX_ATTEMPTS
 from bergamotshed.reasons import Reason, Refusal
 from bergamotshed.routing.types import Outcome
 from tests.callers.chat_client import (
@@ -108,6 +109,15 @@
         assert bench.placer.outcomes == [*unreachable, ('e0', Outcome.DONE)]
 
 
+async def test_the_reason_tells_how_the_last_attempt_ended() -> None:
+    dead = tuple(f'd{number}' for number in range(MAX_ATTEMPTS))
+    async with open_bench(dead=dead) as bench:
+        answer = await send_chat(bench.session, bench.url, QUESTION)
+        assert answer.error is not None
+        assert answer.error['type'] == 'refused, not run'
+        assert answer.error['reason'] == 'engine_unreached'
+
+
 async def test_a_cut_stream_never_looks_complete() -> None:
     async with open_bench() as bench:
         bench.engines[0].faults.set('break', after=3)
--- a/tests/routers/test_mesh.py
+++ b/tests/routers/test_mesh.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from functools import partial
 
 import pytest
 import zmq
@@ -12,11 +13,13 @@
 from bergamotshed.routers.errors import NoAnswer, NoAnswerReason
 from bergamotshed.routers.mesh import PeerMesh
 from bergamotshed.routers.messages import (
+    CancelQuestion,
     ConfigurationAnswer,
     ConfigurationRequest,
     Heartbeat,
     Message,
 )
+from bergamotshed.routers.wire import encode
 from bergamotshed.routing.view import RouterNode
 from tests.waiting import until
 
@@ -169,6 +172,45 @@
         await restarted.mesh.close()
 
 
+async def test_a_former_question_of_a_peer_hides_no_new_one() -> None:
+    """A restarted peer numbers its questions like its former process; the end
+    of a former question must not keep the new one from being cancelled.
+    """
+    started: list[int] = []
+    ended: list[int] = []
+    cancelled: list[int] = []
+    former_may_end = asyncio.Event()
+
+    async def wait(_peer: str, request: ConfigurationRequest) -> Message:
+        started.append(request.version)
+        try:
+            if request.version:
+                await asyncio.Event().wait()
+            await former_may_end.wait()
+        except asyncio.CancelledError:
+            cancelled.append(request.version)
+            raise
+        ended.append(request.version)
+        return ConfigurationAnswer(request.version)
+
+    context = zmq.asyncio.Context()
+    async with fleet('b') as (b,):
+        b.mesh.on_question(ConfigurationRequest, wait)
+        try:
+            for version in (0, 1):
+                peer = context.socket(zmq.DEALER)
+                peer.setsockopt(zmq.IDENTITY, b'a')
+                peer.connect(f'tcp://{b.mesh.address}')
+                await peer.send(encode(1, ConfigurationRequest(version)))
+                await until(partial(started.__contains__, version))
+            former_may_end.set()
+            await until(lambda: len(ended) == 1)
+            await peer.send(encode(0, CancelQuestion(1)))
+            await until(lambda: cancelled == [1])
+        finally:
+            context.destroy(0)
+
+
 MALFORMED = [b'', b'\x00', b'\xc1', b'[1]', b'\x92\x00\x92\x63\x01', b'x' * 99]
 
 
