Remove code that nothing uses

NoAnswerReason.CLOSED, ChatAnswer, UpstreamTimeout, names.FIRST_OFFSET, ConnectionPool.idle_count and Roster.is_leaving, which was set but not read.

--- a/src/bergamotshed/dispatch/types.py
+++ b/src/bergamotshed/dispatch/types.py
@@ -8,7 +8,6 @@
 __all__ = (
     'AttemptStarted',
     'CallOptions',
-    'ChatAnswer',
     'ChatCall',
     'Event',
     'Failure',
@@ -17,7 +16,7 @@
     'PlainCall',
 )
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
@@ -117,12 +116,4 @@
     upstream: str
 
 
-@dataclass(slots=True)
-class ChatAnswer:
-    """A chat's complete answer for callers that do not stream."""
-
-    text: list[str] = field(default_factory=list)
-    finish: Finish | None = None
-
-
 Event = AttemptStarted | Chunk | Finish | Failure
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -122,7 +122,6 @@
 async def _drain(gateway: Gateway) -> None:
     """Leave the fleet and finish the requests in flight."""
     gateway.shutdown.begin()
-    gateway.fleet.roster.is_leaving = True
     gateway.edge.drain()
     gateway.announcer.leave()
     log_message('gateway.leaving', in_flight=gateway.edge.in_flight)
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -10,7 +10,6 @@
     'CACHE_SOURCE',
     'CONFIGURATION_KEY',
     'DEADLINE',
-    'FIRST_OFFSET',
     'HTTP_GONE',
     'INSTANCE_EXPECTED',
     'LOAD',
@@ -42,7 +41,6 @@
 
 #: Status of a read from an offset whose records are no longer retained.
 HTTP_GONE = 410
-FIRST_OFFSET = 'first_offset'
 
 #: Header names in lower case. Headers that callers send:
 ATTEMPT = b'bergamotshed-attempt-id'
--- a/src/bergamotshed/roster/roster.py
+++ b/src/bergamotshed/roster/roster.py
@@ -20,11 +20,9 @@
     """The routers that the store lists, always including this one.
 
     :param own: the entry of this router
-    :ivar is_leaving: this router is shutting down
     """
 
     def __init__(self, own: RosterEntry) -> None:
-        self.is_leaving = False
         self._own = own
         self._entries: dict[str, RosterEntry] = {own.name: own}
 
--- a/src/bergamotshed/routers/errors.py
+++ b/src/bergamotshed/routers/errors.py
@@ -28,7 +28,6 @@
     UNREACHABLE = 'unreachable'
     SILENT = 'silent'
     FAILED = 'failed'
-    CLOSED = 'closed'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotshed/upstreams/pool.py
+++ b/src/bergamotshed/upstreams/pool.py
@@ -51,11 +51,6 @@
         self._open: Counter[str] = Counter()
         self.opened_count = 0
 
-    @property
-    def idle_count(self) -> int:
-        """Return the number of idle connections."""
-        return sum(len(connections) for connections in self._idle.values())
-
     def open_count(self, address: str) -> int:
         """Return the number of open connections to an upstream."""
         return self._open[address]
--- a/src/bergamotshed/upstreams/types.py
+++ b/src/bergamotshed/upstreams/types.py
@@ -14,7 +14,6 @@
     'UpstreamAnswerBroken',
     'UpstreamError',
     'UpstreamNotReached',
-    'UpstreamTimeout',
 )
 
 from dataclasses import dataclass
@@ -42,10 +41,6 @@
     """
 
 
-class UpstreamTimeout(UpstreamError):
-    """The upstream sent nothing for too long; the request may have run."""
-
-
 @dataclass(frozen=True, slots=True)
 class Instance:
     """One process lifetime of an upstream.
