--- a/src/bergamotshed/composition.py
+++ b/src/bergamotshed/composition.py
@@ -16,23 +16,18 @@
 
 from aiohttp import ClientSession
 
+from .background import build_control_parts, task_functions
 from .callers.app import build_app
 from .callers.entry_addresses import FleetEntryAddresses
 from .callers.server import CallersServer
 from .clock import SystemClock
 from .control.claims import LogClaims
-from .control.configuration import ConfigurationFollower
-from .control.lease_writer import LeaseOptions
-from .control.leases import LeaseKeeper
-from .control.reconcile import Reconciler, ReconcilerOptions
-from .control.refresh import ConfigurationRefresher
 from .control.types import ConfigurationInForce
 from .dispatch.chat import ChatDispatcher
 from .dispatch.plain import PlainDispatcher
 from .engines.client import HttpEngineClient
 from .engines.probe import UpstreamProbe
-from .engines.watch import EngineReports, EngineWatcher
-from .fleet import ServiceKind
+from .engines.watch import EngineReports
 from .inspection import InspectedParts, build_operators_server
 from .log.client import HttpLog
 from .operators.server import OperatorsServer
@@ -42,7 +37,6 @@
     FleetParts,
     RequestParts,
     Router,
-    TaskFunction,
 )
 from .process.drain import Drain
 from .process.journal import Journal
@@ -61,22 +55,14 @@
 from .routing.membership import Membership
 from .routing.quarantine import Quarantine
 from .routing.retry import RetryBudget
-from .routing.types import Upstream
 from .routing.view import RouterNode
 from .services.client import HttpServiceClient
 from .settings import Settings
 from .telemetry import setup_logging
-from .vms.client import HttpVmList
-from .vms.watch import VmWatcher
-from .weights.client import HttpWeightStore
-from .weights.rate_limiter import RateLimitedWeightStore, RateLimiter
-from .weights.types import WeightStore
 
-CONTROL_LEASE = 'control'
 TOKEN_KEY_BYTES = 32
 NANOSECONDS_PER_MICROSECOND = 1000
 
-
 #: Share of each upstream's slots that a router may use when no home answers;
 #: one divided by the number of entry VMs.
 FALLBACK_SHARE = 0.25
@@ -88,7 +74,7 @@
     core_parts = _build_core_parts(settings, session)
     fleet_parts = _build_fleet_parts(core_parts)
     request_parts = _build_request_parts(core_parts, fleet_parts)
-    control_parts = _build_control_parts(core_parts, fleet_parts)
+    control_parts = build_control_parts(core_parts, fleet_parts)
     drain = _build_drain(core_parts, fleet_parts, request_parts)
     return Router(
         clock=core_parts.clock,
@@ -104,7 +90,7 @@
             journal,
         ),
         drain=drain,
-        tasks=_task_functions(core_parts, fleet_parts, control_parts),
+        tasks=task_functions(core_parts, fleet_parts, control_parts),
     )
 
 
@@ -265,51 +251,6 @@
     return CallersServer(settings.callers.host, settings.callers.port, app)
 
 
-def _build_control_parts(
-    core_parts: CoreParts, fleet_parts: FleetParts
-) -> ControlParts:
-    options = core_parts.settings.control
-    clock = core_parts.clock
-    follower = ConfigurationFollower(
-        core_parts.log,
-        core_parts.configuration,
-        clock,
-        fleet_parts.configurations.pull,
-    )
-    lease = LeaseKeeper(
-        core_parts.log,
-        LeaseOptions(CONTROL_LEASE, options.lease_ttl, options.lease_margin),
-        core_parts.settings.router.name,
-        clock,
-        core_parts.rng,
-    )
-    refresher = ConfigurationRefresher(
-        core_parts.log, lease, follower, clock, options.refresh_every
-    )
-    reconciler = Reconciler(
-        lease,
-        core_parts.configuration,
-        fleet_parts.membership,
-        core_parts.engines,
-        _build_weight_store(core_parts),
-        clock,
-        ReconcilerOptions(options.reconcile_every, options.unfenced_wait),
-    )
-    return ControlParts(follower, lease, refresher, reconciler)
-
-
-def _build_weight_store(core_parts: CoreParts) -> WeightStore | None:
-    url = core_parts.settings.platform.weights
-    if not url:
-        return None
-    return RateLimitedWeightStore(
-        HttpWeightStore(url, core_parts.session, core_parts.traffic.count),
-        RateLimiter(
-            core_parts.clock, core_parts.settings.platform.weights_rate
-        ),
-    )
-
-
 def _build_drain(
     core_parts: CoreParts, fleet_parts: FleetParts, request_parts: RequestParts
 ) -> Drain:
@@ -351,66 +292,3 @@
         ),
         journal,
     )
-
-
-def _task_functions(
-    core_parts: CoreParts, fleet_parts: FleetParts, control_parts: ControlParts
-) -> list[TaskFunction]:
-    settings = core_parts.settings
-    watcher = VmWatcher(
-        HttpVmList(
-            settings.platform.vms, core_parts.session, core_parts.traffic.count
-        ),
-        fleet_parts.membership.update_list,
-        settings.peers.port,
-        core_parts.clock,
-    )
-    engines = EngineWatcher(
-        core_parts.engines,
-        core_parts.reports,
-        lambda: _engines_with_home_here(core_parts, fleet_parts),
-        lambda engine: _has_expected_models(core_parts, engine),
-        core_parts.clock,
-    )
-    return [
-        watcher.run,
-        engines.run,
-        fleet_parts.heartbeats.run,
-        fleet_parts.crashes.run,
-        control_parts.follower.run,
-        control_parts.lease.run,
-        control_parts.refresher.run,
-        control_parts.reconciler.run,
-    ]
-
-
-def _has_expected_models(core_parts: CoreParts, engine: Upstream) -> bool:
-    """Return whether an engine reports the models that all must load."""
-    service = core_parts.configuration.fleet.service(engine.service)
-    if service is None:
-        return True
-    return all(
-        core_parts.reports.can_serve(
-            engine.name, '+'.join((f'{live.name}@{live.version}', *adapter))
-        )
-        for live in service.models
-        if not live.engines
-        for adapter in ((), *((name,) for name in live.adapters))
-    )
-
-
-def _engines_with_home_here(
-    core_parts: CoreParts, fleet_parts: FleetParts
-) -> list[Upstream]:
-    """Return the engines of the services for which this router is a home."""
-    services_homed_here = {
-        service
-        for service, _ in fleet_parts.placer.home_manager.home_partitions()
-    }
-    return [
-        upstream
-        for service in core_parts.configuration.fleet.services
-        if service.kind is ServiceKind.ENGINE
-        and service.name in services_homed_here
-        for upstream in fleet_parts.membership.upstreams(service.name)
-    ]
