--- /dev/null
+++ b/tests/routing/test_load_bound.py
@@ -0,0 +1,173 @@
+"""Plays many routers that place without messages between each other.
+
+Judges the platform's bound from what the upstreams hold: no more than a small
+part of the requests may reach one that has over twice the mean, plus 3.
+"""
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import pytest
+
+from bergamotshed.clock import ManualClock
+from bergamotshed.routing.affinity import (
+    AffinityPlacer,
+    PlacedUpstream,
+    PlacementQuery,
+)
+from bergamotshed.routing.cache_source import CacheSources
+from bergamotshed.routing.prompt_readers import PromptReaders
+from bergamotshed.routing.upstream_loads import ExchangeOutcome, UpstreamLoads
+from bergamotshed.upstreams.types import Instance, ReportedLoad
+from tests.routing.test_affinity import FixedListing, instance
+
+SEED = 20261204
+LIMIT_FACTOR = 2
+LIMIT_SLACK = 3
+MAX_SHARE_OVER_LIMIT = 0.01
+#: Time until an upstream answers a prompt that it has not read, or has read.
+COLD_HEAD_S = 0.3
+WARM_HEAD_S = 0.04
+#: Durations of the kinds of answers, equally frequent.
+ANSWERS_S = (0.1, 0.8, 1.5)
+#: A few subjects have most requests: weights fall with the rank.
+SKEW = 0.6
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """A size of the fleet and its load."""
+
+    routers: int
+    upstreams: int
+    subjects: int
+    requests_per_s: float
+    duration_s: float
+
+
+FLEETS = {
+    '5 routers': Fleet(5, 12, 100, 75, 10),
+    '33 routers': Fleet(33, 144, 300, 370, 5),
+    '350 routers': Fleet(350, 820, 2000, 3300, 0.8),
+}
+
+
+@dataclass
+class Upstreams:
+    """What the upstreams hold, which no router knows exactly."""
+
+    in_flight: dict[str, int]
+    read_subjects: set[tuple[str, str]] = field(default_factory=set)
+    placed_count: int = 0
+    over_limit_count: int = 0
+
+    def accept(self, name: str) -> None:
+        mean = sum(self.in_flight.values()) / len(self.in_flight)
+        limit = LIMIT_FACTOR * mean + LIMIT_SLACK
+        self.placed_count += 1
+        self.over_limit_count += self.in_flight[name] > limit
+        self.in_flight[name] += 1
+
+    def head_delay_s(self, name: str, subject: str) -> float:
+        has_read = (name, subject) in self.read_subjects
+        self.read_subjects.add((name, subject))
+        return WARM_HEAD_S if has_read else COLD_HEAD_S
+
+    @property
+    def over_limit_share(self) -> float:
+        return self.over_limit_count / self.placed_count
+
+
+class Router:
+    """Places requests by what it has sent and by the reports it received."""
+
+    def __init__(self, clock: ManualClock, listed: FixedListing) -> None:
+        self.loads = UpstreamLoads(clock)
+        self.readers = PromptReaders(clock)
+        self._placer = AffinityPlacer(
+            listed,
+            self.loads,
+            CacheSources(listed, self.loads, self.readers),
+            lambda _service: float('inf'),
+            'a',
+            random.Random(SEED).random,
+        )
+
+    def place(self, subject: str) -> Instance:
+        placed = self._placer.place(PlacementQuery('s', '', (subject,)))
+        assert isinstance(placed, PlacedUpstream)
+        self.loads.record_start(placed.instance)
+        return placed.instance
+
+
+class Play:
+    """Plays a fleet from a cold start in virtual time."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._clock = ManualClock()
+        self._rng = random.Random(SEED)
+        listed = FixedListing(
+            *(instance(f'e{number}') for number in range(fleet.upstreams))
+        )
+        self.upstreams = Upstreams(dict.fromkeys(listed.instances, 0))
+        self._routers = [
+            Router(self._clock, listed) for _ in range(fleet.routers)
+        ]
+        self._subjects = [f'p{number}' for number in range(fleet.subjects)]
+        self._weights = [(rank + 1) ** -SKEW for rank in range(fleet.subjects)]
+        self._events: list[tuple[float, int, str, Router, Instance]] = []
+        self._event_numbers = itertools.count()
+
+    def run(self) -> None:
+        arrival_s = self._next_arrival(0)
+        while arrival_s < self._fleet.duration_s:
+            self._handle_events(arrival_s)
+            self._send(arrival_s)
+            arrival_s = self._next_arrival(arrival_s)
+
+    def _next_arrival(self, now_s: float) -> float:
+        return now_s + self._rng.expovariate(self._fleet.requests_per_s)
+
+    def _send(self, now_s: float) -> None:
+        router = self._rng.choice(self._routers)
+        (subject,) = self._rng.choices(self._subjects, self._weights)
+        chosen = router.place(subject)
+        self.upstreams.accept(chosen.name)
+        head_s = now_s + self.upstreams.head_delay_s(chosen.name, subject)
+        self._schedule(head_s, 'head', router, chosen)
+        end_s = head_s + self._rng.choice(ANSWERS_S)
+        self._schedule(end_s, 'end', router, chosen)
+
+    def _schedule(
+        self, time_s: float, kind: str, router: Router, chosen: Instance
+    ) -> None:
+        number = next(self._event_numbers)
+        heapq.heappush(self._events, (time_s, number, kind, router, chosen))
+
+    def _handle_events(self, until_s: float) -> None:
+        while self._events and self._events[0][0] <= until_s:
+            time_s, _, kind, router, chosen = heapq.heappop(self._events)
+            self._advance_to(time_s)
+            if kind == 'head':
+                held = self.upstreams.in_flight[chosen.name]
+                router.loads.record_report(
+                    chosen, ReportedLoad(held, 0, chosen.slots)
+                )
+            else:
+                self.upstreams.in_flight[chosen.name] -= 1
+                router.loads.record_end(chosen, ExchangeOutcome.ANSWERED)
+        self._advance_to(until_s)
+
+    def _advance_to(self, time_s: float) -> None:
+        self._clock.advance(timedelta(seconds=time_s - self._clock.monotonic()))
+
+
+@pytest.mark.parametrize('size', FLEETS)
+def test_few_requests_reach_an_overloaded_upstream(size: str) -> None:
+    play = Play(FLEETS[size])
+    play.run()
+    assert play.upstreams.over_limit_share <= MAX_SHARE_OVER_LIMIT
