Say what callers' timeouts and malformed bodies are; rename what was homed or foreign

Texts that callers receive: "the body is malformed", "the body did not arrive in time", "the request did not arrive in time", "the route has no service". Names: counts of other homes, home readers.

--- a/src/bergamotshed/background.py
+++ b/src/bergamotshed/background.py
@@ -123,7 +123,7 @@
     core_parts: CoreParts, fleet_parts: FleetParts
 ) -> list[Upstream]:
     """Return the engines of the services for which this router is a home."""
-    services_homed_here = {
+    services_with_home_here = {
         service
         for service, _ in fleet_parts.placer.home_manager.home_partitions()
     }
@@ -131,6 +131,6 @@
         upstream
         for service in core_parts.configuration.fleet.services
         if service.kind is ServiceKind.ENGINE
-        and service.name in services_homed_here
+        and service.name in services_with_home_here
         for upstream in fleet_parts.membership.upstreams(service.name)
     ]
--- a/src/bergamotshed/callers/head_timeouts.py
+++ b/src/bergamotshed/callers/head_timeouts.py
@@ -19,7 +19,9 @@
 HTTP_REQUEST_TIMEOUT = 408
 
 _TIMEOUT_BODY = failure_body(
-    BadRequest('the request came too slowly', HTTP_REQUEST_TIMEOUT).failure
+    BadRequest(
+        'the request did not arrive in time', HTTP_REQUEST_TIMEOUT
+    ).failure
 )
 _TIMEOUT_RESPONSE = b'\r\n'.join(
     (
--- a/src/bergamotshed/callers/parse.py
+++ b/src/bergamotshed/callers/parse.py
@@ -97,7 +97,7 @@
         try:
             body = self._chat_decoder.decode(raw_body)
         except (DecodeError, UnicodeDecodeError, RecursionError) as error:
-            raise BadRequest(f'the body is wrong: {error}') from error
+            raise BadRequest(f'the body is malformed: {error}') from error
         model, _, adapter = body.model.partition('+')
         messages = tuple(_message(message) for message in body.messages)
         call = ChatCall(
@@ -155,7 +155,7 @@
                 return await request.read()
         except TimeoutError as error:
             raise BadRequest(
-                'the body came too slowly', HTTP_REQUEST_TIMEOUT
+                'the body did not arrive in time', HTTP_REQUEST_TIMEOUT
             ) from error
         except web.HTTPRequestEntityTooLarge as error:
             raise BadRequest(
--- a/src/bergamotshed/edge/server.py
+++ b/src/bergamotshed/edge/server.py
@@ -219,7 +219,7 @@
                 body = await _read_limited(request, limit)
         except TimeoutError:
             return bad_request_response(
-                HTTPStatus.REQUEST_TIMEOUT, 'the body came too slowly'
+                HTTPStatus.REQUEST_TIMEOUT, 'the body did not arrive in time'
             )
         except web.RequestPayloadError as error:
             return bad_request_response(
--- a/src/bergamotshed/forwarding/request_admission.py
+++ b/src/bergamotshed/forwarding/request_admission.py
@@ -175,7 +175,7 @@
             return Refusal(
                 Reason.NO_ENGINE,
                 NO_SERVICE_RETRY_AFTER,
-                'a route to no service',
+                'the route has no service',
             )
         return route
 
--- a/src/bergamotshed/routers/homemanager.py
+++ b/src/bergamotshed/routers/homemanager.py
@@ -84,7 +84,7 @@
 
     def send_counts(self, partition: Partition) -> None:
         """Send the counts of this router to the present home now."""
-        self._adopt_foreign_counts(partition)
+        self._adopt_counts_of_other_homes(partition)
         self._vectors.send(partition)
 
     def check_homes(self) -> None:
@@ -103,7 +103,7 @@
     def resend_counts(self) -> None:
         """Send the counts again where due; call it once a second."""
         for partition in self._held_placements.partitions:
-            self._adopt_foreign_counts(partition)
+            self._adopt_counts_of_other_homes(partition)
         self._vectors.send_due()
 
     def apply_load_vector(self, peer: str, vector: LoadVector) -> None:
@@ -157,12 +157,12 @@
             for router in lost:
                 home.release_router(router)
 
-    def _adopt_foreign_counts(self, partition: Partition) -> None:
+    def _adopt_counts_of_other_homes(self, partition: Partition) -> None:
         if self.has_home(partition):
-            foreign = self._held_placements.counts_not_granted_by(
+            counts = self._held_placements.counts_not_granted_by(
                 partition, PlacementSource.HOME
             )
-            self._local.adopt(*partition, foreign)
+            self._local.adopt(*partition, counts)
 
     def _start_takeover(self, partition: Partition) -> asyncio.Task[None]:
         self._known_homes[partition] = self._homes.home_of(partition)
@@ -175,7 +175,7 @@
         """Start as home with the load vectors of all peers."""
         self._local.home(*partition)
         self.memory_transfer.merge_own_records(partition)
-        self._adopt_foreign_counts(partition)
+        self._adopt_counts_of_other_homes(partition)
         request = LoadVectorRequest(*partition)
         peers = self._homes.live_peers(self._node)
         answers = await asyncio.gather(
--- a/src/bergamotshed/routers/prompthomes.py
+++ b/src/bergamotshed/routers/prompthomes.py
@@ -61,7 +61,7 @@
         self._mesh = mesh
         self._usable_routers = usable_routers
         self._clock = clock
-        self._homed_readers = PromptReaders(clock)
+        self._home_readers = PromptReaders(clock)
         self._sent_reports: OrderedDict[
             tuple[str, Incarnation], tuple[str, float]
         ]
@@ -72,7 +72,7 @@
     @property
     def home_subject_count(self) -> int:
         """Return the number of subjects with readers homed on this router."""
-        return len(self._homed_readers)
+        return len(self._home_readers)
 
     def record_read(self, parts: Sequence[str], reader: Incarnation) -> None:
         """Record that an upstream has read these parts, and report it to the
@@ -86,9 +86,7 @@
         """Ask the home of a subject for its readers and store them."""
         home = self._home_of(subject)
         if home == self._node:
-            readers: Sequence[Incarnation] = self._homed_readers.readers(
-                subject
-            )
+            readers: Sequence[Incarnation] = self._home_readers.readers(subject)
         else:
             answer = await self._mesh.ask(
                 home, ReadersRequest(subject), ASK_TIMEOUT
@@ -102,7 +100,7 @@
     def _report_read(self, subject: str, reader: Incarnation) -> None:
         home = self._home_of(subject)
         if home == self._node:
-            self._homed_readers.record_read((subject,), reader)
+            self._home_readers.record_read((subject,), reader)
             return
         now = self._clock.monotonic()
         sent_to, sent_at = self._sent_reports.get((subject, reader), ('', now))
@@ -124,12 +122,12 @@
         )
 
     def _handle_read(self, _peer: str, read: PromptRead) -> None:
-        self._homed_readers.record_read(
+        self._home_readers.record_read(
             (read.subject,), (read.upstream, read.born)
         )
 
     async def _handle_readers_request(
         self, _peer: str, request: ReadersRequest
     ) -> Message:
-        readers = self._homed_readers.readers(request.subject)
+        readers = self._home_readers.readers(request.subject)
         return ReadersAnswer(tuple(readers[:MAX_READERS]))
--- a/tests/routers/test_prompthomes.py
+++ b/tests/routers/test_prompthomes.py
@@ -59,7 +59,7 @@
             await router.mesh.close()
 
 
-def subject_homed_at(name: str) -> str:
+def subject_with_home_at(name: str) -> str:
     """Return a subject that has its home on that router."""
     return next(
         f'p{number}'
@@ -71,7 +71,7 @@
 @pytest.mark.parametrize('home', NAMES)
 async def test_every_router_finds_a_reader_through_the_home(home: str) -> None:
     # Fails if a prompt is read again although another router's upstream has it.
-    subject = subject_homed_at(home)
+    subject = subject_with_home_at(home)
     async with fleet() as routers:
         routers['r1'].homes.record_read(('begin', subject), FIRST_READER)
         await until(lambda: _known_at_home(routers[home], subject))
@@ -80,7 +80,7 @@
 
 
 async def test_the_most_recent_reader_comes_first() -> None:
-    subject = subject_homed_at('r2')
+    subject = subject_with_home_at('r2')
     async with fleet() as routers:
         for reader in (FIRST_READER, SECOND_READER):
             routers['r2'].homes.record_read((subject,), reader)
@@ -91,7 +91,7 @@
 
 
 async def test_reads_are_reported_to_the_next_home_of_a_lost_one() -> None:
-    subject = subject_homed_at('r2')
+    subject = subject_with_home_at('r2')
     async with fleet() as routers:
         sender, asker = routers['r1'], routers['r3']
         sender.homes.record_read((subject,), FIRST_READER)
@@ -107,12 +107,12 @@
 async def test_a_read_is_reported_again_only_after_the_resend_interval() -> (
     None
 ):
-    subject = subject_homed_at('r2')
+    subject = subject_with_home_at('r2')
     async with fleet() as routers:
         sender, home = routers['r1'], routers['r2']
         sender.homes.record_read((subject,), FIRST_READER)
         await until(lambda: _known_at_home(home, subject))
-        home.homes._homed_readers._subjects.clear()
+        home.homes._home_readers._subjects.clear()
         sender.homes.record_read((subject,), FIRST_READER)
         assert await sender.fetch_readers(subject) == [FIRST_READER]
         assert not _known_at_home(home, subject)
@@ -122,7 +122,7 @@
 
 
 async def test_a_report_that_was_not_sent_is_repeated() -> None:
-    subject = subject_homed_at('r2')
+    subject = subject_with_home_at('r2')
     async with fleet() as routers:
         sender, home = routers['r1'], routers['r2']
         sender.mesh.set_peers(())
@@ -143,7 +143,7 @@
 
 
 def _known_at_home(router: Router, subject: str) -> bool:
-    return bool(router.homes._homed_readers.readers(subject))
+    return bool(router.homes._home_readers.readers(subject))
 
 
 async def _can_fetch_readers(router: Router, subject: str) -> bool:
