--- a/src/bergamotshed/gateway/inspection.py
+++ b/src/bergamotshed/gateway/inspection.py
@@ -188,6 +188,6 @@
 
 
 def _prompt_counts(gateway: Gateway) -> dict[str, int]:
-    """Return the number of known subjects, and of those with their home here."""
+    """Return the number of known subjects and of those with a home here."""
     prompts = gateway.fleet.prompts
     return {'known': len(prompts.memory), 'home_of': prompts.home_subject_count}
--- a/src/bergamotshed/routers/prompthomes.py
+++ b/src/bergamotshed/routers/prompthomes.py
@@ -71,7 +71,7 @@
 
     @property
     def home_subject_count(self) -> int:
-        """Return the number of subjects with readers homed on this router."""
+        """Return the number of subjects whose home is this router."""
         return len(self._home_readers)
 
     def record_read(self, parts: Sequence[str], reader: Incarnation) -> None:
