Bound how long a reader of the store holds an answer back

The hold is now 1.5 s at most, the accepted age of a reader's data goes with the question, and reads of the list wait 3 s, which costs little as few routers read. The test fails without the bound.

--- a/src/bergamotshed/gateway/settings.py
+++ b/src/bergamotshed/gateway/settings.py
@@ -74,7 +74,7 @@
     address: str = option(Address())
     configuration_wait_ms: float = option(MILLISECONDS, default=1000)
     upstreams_wait_ms: float = option(MILLISECONDS, default=2500)
-    routers_wait_ms: float = option(MILLISECONDS, default=10_000)
+    routers_wait_ms: float = option(MILLISECONDS, default=3000)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotshed/routers/storemessages.py
+++ b/src/bergamotshed/routers/storemessages.py
@@ -18,11 +18,14 @@
     :ivar start: offset of the first change wanted
     :ivar wait: milliseconds for which the answer may be held back until there
         is a change
+    :ivar max_age: milliseconds; changes that were confirmed longer ago are not
+        wanted
     """
 
     topic: str
     start: int
     wait: int
+    max_age: int
 
 
 class ChangesAnswer(Struct, frozen=True, array_like=True, tag=26):
--- a/src/bergamotshed/routers/storerelay.py
+++ b/src/bergamotshed/routers/storerelay.py
@@ -33,14 +33,16 @@
 from .messages import Message
 from .storemessages import ChangesAnswer, ChangesRequest
 
-#: How long a reader may take to acknowledge a question, and how much longer
-#: than asked for it may hold the answer back.
+#: How long a reader may take to acknowledge a question.
 ASK_TIMEOUT = timedelta(milliseconds=100)
+#: How long a reader holds an answer back, also where the store would do so for
+#: longer: it may freeze meanwhile. And how late the answer may be.
+MAX_HOLD = timedelta(milliseconds=1500)
 HOLD_MARGIN = timedelta(milliseconds=150)
 #: How long the store is read directly after a reader did not answer.
 READER_RETRY_PAUSE = timedelta(seconds=3)
-#: A reader whose last read of the store is older than this multiple of the
-#: wait asked for does not answer: the store may be lost to it alone.
+#: Accepted age of what a reader knows, as a multiple of the longest wait of its
+#: reads: the store may be lost to the reader alone.
 MAX_AGE_IN_WAITS = 2
 #: Largest values that are relayed, in bytes; a reader sends one copy to each
 #: router that it serves.
@@ -102,11 +104,17 @@
         reader = find_reader(topic.value, self._node, self._routers())
         if reader is None or not wait or self._is_silent(reader):
             return await self._store.read(topic, start, wait)
+        hold = min(wait, MAX_HOLD)
         answer = await self._mesh.ask(
             reader,
-            ChangesRequest(topic.value, start, wait // MILLISECOND),
+            ChangesRequest(
+                topic.value,
+                start,
+                hold // MILLISECOND,
+                wait * MAX_AGE_IN_WAITS // MILLISECOND,
+            ),
             ASK_TIMEOUT,
-            wait + HOLD_MARGIN,
+            hold + HOLD_MARGIN,
         )
         if not isinstance(answer, ChangesAnswer):
             self._record_silent(reader, topic)
@@ -137,17 +145,15 @@
         """Answer a peer once there is a change or this router has read."""
         arrived_at = self._clock.boottime()
         recent = self._recent[Topic(request.topic)]
-        wait = request.wait * MILLISECOND
         changes = recent.since(request.start)
         if changes is not None and not changes.entries:
-            await recent.wait(wait)
+            await recent.wait(request.wait * MILLISECOND)
             changes = recent.since(request.start)
+        if changes is None or _size(changes) > MAX_RELAYED_BYTES:
+            return ChangesAnswer(is_known=False)
         age_s = arrived_at - recent.read_at
-        if (
-            changes is None
-            or age_s > wait.total_seconds() * MAX_AGE_IN_WAITS
-            or _size(changes) > MAX_RELAYED_BYTES
-        ):
+        age_ms = math.ceil(age_s * MILLISECONDS_PER_SECOND)
+        if age_ms > request.max_age:
             return ChangesAnswer(is_known=False)
         return ChangesAnswer(
             is_known=True,
@@ -155,7 +161,7 @@
                 (entry.key, entry.value) for entry in changes.entries
             ),
             end=changes.end,
-            age=math.ceil(age_s * MILLISECONDS_PER_SECOND),
+            age=age_ms,
         )
 
 
--- a/tests/routers/test_storerelay.py
+++ b/tests/routers/test_storerelay.py
@@ -9,7 +9,8 @@
 
 from bergamotshed.clock import SystemClock
 from bergamotshed.routers.mesh import PeerMesh
-from bergamotshed.routers.messages import GatewayHeartbeat
+from bergamotshed.routers.messages import GatewayHeartbeat, Message
+from bergamotshed.routers.storemessages import ChangesRequest
 from bergamotshed.routers.storerelay import MAX_RELAYED_BYTES, StoreRelay
 from bergamotshed.routing.store_readers import find_reader
 from bergamotshed.routing.view import RouterNode
@@ -33,6 +34,8 @@
 OTHERS = tuple(name for name in NAMES if name != READER)
 WAIT = timedelta(milliseconds=400)
 NO_WAIT = timedelta(0)
+#: Wait of reads whose changes may be seen late.
+WAIT_FOR_MEMBERS = timedelta(seconds=10)
 
 
 class SharedStore(KeyedStore):
@@ -257,6 +260,29 @@
         await created.wait_known('during', *OTHERS)
 
 
+async def test_a_reader_that_freezes_delays_a_change_by_the_hold() -> None:
+    async def hold_forever(_peer: str, _request: ChangesRequest) -> Message:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    async with fleet() as created:
+        reader, other = created.routers[READER], created.routers[OTHERS[0]]
+        reader.mesh.on_question(ChangesRequest, hold_forever)
+        await created.publish('key')
+        started_at = other.clock.monotonic()
+        await other.step(WAIT_FOR_MEMBERS)
+        waited_s = other.clock.monotonic() - started_at
+        assert other.keys == ['key']
+        assert waited_s < WAIT_FOR_MEMBERS.total_seconds() / 2
+
+
+async def test_a_router_that_has_not_read_yet_knows_nothing() -> None:
+    async with fleet() as created:
+        changes = await created.routers[OTHERS[0]].step(WAIT)
+        assert not changes.is_relayed
+        assert not created.routers[OTHERS[0]].relay._silent_until
+
+
 async def test_a_router_that_the_store_turns_away_gets_relayed_changes() -> (
     None
 ):
