--- a/src/bergamotshed/routers/storerelay.py
+++ b/src/bergamotshed/routers/storerelay.py
@@ -35,9 +35,10 @@
 
 #: How long a reader may take to acknowledge a question.
 ASK_TIMEOUT = timedelta(milliseconds=100)
-#: How long a reader holds an answer back, also where the store would do so for
-#: longer: it may freeze meanwhile. And how late the answer may be.
+#: Longest time for which a reader holds an answer back; the store may do so for
+#: longer, but a reader may freeze meanwhile.
 MAX_HOLD = timedelta(milliseconds=1500)
+#: How much later than that the answer may arrive.
 HOLD_MARGIN = timedelta(milliseconds=150)
 #: How long the store is read directly after a reader did not answer.
 READER_RETRY_PAUSE = timedelta(seconds=3)
