Stop a background task whose child fails on its cancellation

The supervising task logged task.failed, started the reconciler again and never ended; the process had not exited after 20 s.

Ruled out: the sockets between routers, whose threads had exited before.

The new test does not end without the change. The gateway runs its tasks by the same class; its own task functions were not seen to fail so. Also listed: a test of the lease that failed once in the same run, not traced.

--- a/src/bergamotshed/process/tasks.py
+++ b/src/bergamotshed/process/tasks.py
@@ -35,6 +35,7 @@
         self._run = run
         self._clock = clock
         self._task: asyncio.Task[None] | None = None
+        self._is_stopping = False
 
     async def start(self) -> None:
         """Start the task."""
@@ -44,6 +45,7 @@
         """Cancel the task and wait for its end."""
         if self._task is None:
             return
+        self._is_stopping = True
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
@@ -54,4 +56,7 @@
                 await self._run()
             except Exception:
                 log_message('task.failed', failure=traceback.format_exc())
+            if self._is_stopping:
+                # A task group replaces its cancellation by a child's error.
+                return
             await self._clock.sleep(RESTART_DELAY)
--- a/tests/process/test_tasks.py
+++ b/tests/process/test_tasks.py
@@ -23,3 +23,25 @@
     await task.stop()
     assert starts == [0, 1, 2]
     assert clock.monotonic() == timedelta(seconds=2).total_seconds()
+
+
+async def test_a_child_that_fails_when_cancelled_delays_no_stop() -> None:
+    """A task group then raises the child's error, not the cancellation."""
+    is_running = asyncio.Event()
+
+    async def fail_when_cancelled() -> None:
+        is_running.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            raise RuntimeError('the session is closed') from None
+
+    async def run() -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fail_when_cancelled())
+
+    task = BackgroundTask(run, ManualClock())
+    await task.start()
+    await is_running.wait()
+    async with asyncio.timeout(2):
+        await task.stop()
