--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -272,6 +272,8 @@
     def _log_attempt(
         self, placed: PlacedUpstream, result: AttemptResult, duration_s: float
     ) -> None:
+        metadata = self._exchange.answer_metadata
+        splitter = self.relay.splitter
         log_message(
             'request.attempt',
             request=self._request.attempt_id,
@@ -288,5 +290,8 @@
             ),
             ending=result.outcome.value,
             detail=result.detail,
+            body_end='' if metadata is None else metadata.delimitation.value,
+            last_event=splitter.last_id,
+            open_event_bytes=len(splitter.rest),
             ms=round(duration_s * 1000),
         )
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -127,6 +127,7 @@
             upstream counts as silent; ``None`` for no timeout
         """
         self.answer_metadata = None
+        self._relay.splitter.restart()
         try:
             connection = await self._pool.acquire(
                 instance.address, repeatable=repeatable
@@ -157,7 +158,6 @@
         last_id = self._relay.splitter.last_id
         if self._relay.is_started and last_id is not None:
             request = request.resumed_after(str(last_id))
-        self._relay.splitter.restart()
         if not connection.send(
             self._dialect.write_request(request, request_metadata)
         ):
--- a/src/bergamotshed/forwarding/types.py
+++ b/src/bergamotshed/forwarding/types.py
@@ -22,7 +22,7 @@
 from datetime import timedelta
 
 from ..reasons import Reason
-from ..upstreams.types import Headers, ReportedLoad
+from ..upstreams.types import Delimitation, Headers, ReportedLoad
 
 CallerHeaders = tuple[tuple[str, str], ...]
 
@@ -120,6 +120,7 @@
     :ivar is_encoded: the body has a content encoding, so it is not the
         upstream's own bytes
     :ivar is_event_stream: the body is an event stream
+    :ivar delimitation: what marks the end of the body
     :ivar keep_alive_s: how long the upstream keeps an idle connection; zero
         if it closes the connection, ``None`` if not stated
     :ivar load: the load that the upstream reports; ``None`` if not stated
@@ -132,6 +133,7 @@
     did_not_run: bool
     is_encoded: bool
     is_event_stream: bool
+    delimitation: Delimitation
     keep_alive_s: float | None
     load: ReportedLoad | None
     caller_headers: CallerHeaders
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -124,6 +124,7 @@
             did_not_run=names.NOT_EXECUTED in by_name,
             is_encoded=encoding != b'identity',
             is_event_stream=content_type.startswith(EVENT_STREAM),
+            delimitation=head.delimitation,
             keep_alive_s=_parse_keep_alive(by_name),
             load=_parse_load(by_name.get(names.LOAD, b'')),
             caller_headers=tuple(
--- a/src/bergamotshed/upstreams/parsing.py
+++ b/src/bergamotshed/upstreams/parsing.py
@@ -11,7 +11,12 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
-from .types import AnswerHead, Headers, UpstreamAnswerBroken
+from .types import (
+    AnswerHead,
+    Delimitation,
+    Headers,
+    UpstreamAnswerBroken,
+)
 
 _BODILESS = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
@@ -56,7 +61,10 @@
 
     def receive_eof(self) -> None:
         """Treat the end of the connection as the end of an unsized body."""
-        if self.head is not None and not self.head.is_sized:
+        if (
+            self.head is not None
+            and self.head.delimitation is Delimitation.CONNECTION
+        ):
             self.is_complete = True
             self.keeps_connection_open = False
 
@@ -82,7 +90,9 @@
         headers = tuple(self._headers)
         self._headers = []
         if not self.has_stray_bytes and status >= _FIRST_FINAL_STATUS:
-            self.head = AnswerHead(status, headers, _is_sized(status, headers))
+            self.head = AnswerHead(
+                status, headers, _find_delimitation(status, headers)
+            )
             if self._has_no_body:
                 # The parser would wait for the body that the headers announce.
                 self.is_complete = True
@@ -101,8 +111,12 @@
             self.keeps_connection_open = self._parser.should_keep_alive()
 
 
-def _is_sized(status: int, headers: Headers) -> bool:
+def _find_delimitation(status: int, headers: Headers) -> Delimitation:
     if status in _BODILESS:
-        return True
+        return Delimitation.NO_BODY
     names = {name.lower() for name, _ in headers}
-    return b'content-length' in names or b'transfer-encoding' in names
+    if b'transfer-encoding' in names:
+        return Delimitation.CHUNKS
+    if b'content-length' in names:
+        return Delimitation.LENGTH
+    return Delimitation.CONNECTION
--- a/src/bergamotshed/upstreams/types.py
+++ b/src/bergamotshed/upstreams/types.py
@@ -7,6 +7,7 @@
 
 __all__ = (
     'AnswerHead',
+    'Delimitation',
     'Headers',
     'Incarnation',
     'Instance',
@@ -17,6 +18,7 @@
 )
 
 from dataclasses import dataclass
+from enum import Enum
 
 from ..errors import BergamotshedError
 
@@ -71,17 +73,28 @@
         return (self.name, self.born)
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """Status and headers of an answer, as received.
+class Delimitation(Enum):
+    """What marks the end of an answer's body.
 
-    :ivar is_sized: the body ends by its length or its last chunk rather than
-        by the end of the connection
+    :cvar NO_BODY: the answer ends with its head
+    :cvar LENGTH: the announced length
+    :cvar CHUNKS: the last chunk
+    :cvar CONNECTION: the end of the connection
     """
 
+    NO_BODY = 'no_body'
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer, as received."""
+
     status: int
     headers: Headers
-    is_sized: bool
+    delimitation: Delimitation
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -9,7 +9,12 @@
     RoutedRequest,
 )
 from bergamotshed.platform.headers import PlatformDialect
-from bergamotshed.upstreams.types import AnswerHead, Headers, ReportedLoad
+from bergamotshed.upstreams.types import (
+    AnswerHead,
+    Delimitation,
+    Headers,
+    ReportedLoad,
+)
 
 DIALECT = PlatformDialect()
 METADATA = RequestMetadata('i-1', 'org', 2, timedelta(milliseconds=1500))
@@ -128,7 +133,9 @@
 def test_reads_how_long_a_connection_is_kept(
     headers: Headers, expected: float | None
 ) -> None:
-    metadata = DIALECT.read_answer(AnswerHead(200, headers, is_sized=True))
+    metadata = DIALECT.read_answer(
+        AnswerHead(200, headers, Delimitation.LENGTH)
+    )
     assert metadata.keep_alive_s == expected
 
 
@@ -146,7 +153,7 @@
     value: bytes, expected: ReportedLoad | None
 ) -> None:
     head = AnswerHead(
-        200, ((b'Bergamotshed-Server-Load', value),), is_sized=True
+        200, ((b'Bergamotshed-Server-Load', value),), Delimitation.LENGTH
     )
     assert DIALECT.read_answer(head).load == expected
 
@@ -162,7 +169,7 @@
             (b'Bergamotshed-Server-Load', b'1,0,8'),
             (b'Content-Encoding', b'gzip'),
         ),
-        is_sized=True,
+        Delimitation.LENGTH,
     )
     metadata = DIALECT.read_answer(head)
     assert dict(metadata.caller_headers) == {
