Test streams that end inside an event: they reach the caller as complete

The caller gets the open event's bytes and a proper end of the body; a resumable stream is not resumed.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -3,13 +3,15 @@
 import asyncio
 from itertools import count
 
+import pytest
+
 from tests.standins.rawupstream import (
     RawRequest,
     reset_connection,
     sealed_answer,
 )
 
-from .support import running_gateway, send_request
+from .support import Script, running_gateway, send_request
 
 EVENTS = 'Content-Type: text/event-stream'
 
@@ -68,6 +70,66 @@
         assert len(setup.runs) == 2
 
 
+def delimited_answer(
+    request: RawRequest, body: bytes, delimitation: str
+) -> bytes:
+    """Return a stream whose framing is complete once the connection ends."""
+    if delimitation == 'length':
+        return sealed_answer(request, body, extra=EVENTS)
+    if delimitation == 'connection':
+        return sealed_answer(request, body, sized=False, extra=EVENTS)
+    headers = f'{EVENTS}\r\nTransfer-Encoding: chunked'
+    head = sealed_answer(request, b'', sized=False, extra=headers)
+    return head + b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+
+
+def ending_inside_an_event(delimitation: str) -> Script:
+    async def script(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        body = events(0, 2) + b'id: 3\nda'
+        writer.write(delimited_answer(request, body, delimitation))
+        writer.close()
+
+    return script
+
+
+DELIMITATIONS = ('connection', 'length', 'chunks')
+
+
+@pytest.mark.parametrize('delimitation', DELIMITATIONS)
+async def test_a_stream_that_ends_inside_an_event_never_looks_complete(
+    delimitation: str,
+) -> None:
+    async with running_gateway(ending_inside_an_event(delimitation)) as setup:
+        response = await send_request(setup.port, '/stream/a')
+        assert response.cut
+        assert response.body == events(0, 2)
+
+
+@pytest.mark.parametrize('delimitation', DELIMITATIONS)
+async def test_a_stream_that_ends_inside_an_event_is_resumed(
+    delimitation: str,
+) -> None:
+    cut = ending_inside_an_event(delimitation)
+
+    async def first_cut(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if 'last-event-id' not in request.headers:
+            await cut(request, writer)
+            return
+        after = int(request.headers['last-event-id'])
+        writer.write(
+            delimited_answer(request, events(after + 1, 6), delimitation)
+        )
+        writer.close()
+
+    async with running_gateway(first_cut, first_cut) as setup:
+        response = await send_request(setup.port, '/resumed/a')
+        assert not response.cut
+        assert response.body == events(0, 6)
+        assert len(setup.runs) == 2
+
+
 async def test_a_stream_is_cut_at_the_routes_timeout() -> None:
     async def endless(
         request: RawRequest, writer: asyncio.StreamWriter
