Break off a stream that ends inside an event

Cause: at the end of an upstream's body the relay passed on the bytes after the last whole event and ended the answer, whatever they were. Where the body has neither a length nor chunks its end is the end of the connection, which a crash ends without a reset; so nothing but the open event shows that the stream was broken off. The same happened where the framing was complete.

The splitter now decides whether a stream may end: only empty lines and whole comments may follow the last event. Otherwise the attempt is broken: a stream that may be resumed goes on at another upstream, any other has the caller's connection broken, and one that had not reached the caller is answered with 502. The crash also counts against the upstream and the request, as every cut does.

--- a/src/bergamotshed/forwarding/events.py
+++ b/src/bergamotshed/forwarding/events.py
@@ -2,10 +2,16 @@
 bergamotshed.forwarding.events
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Splits an event stream into whole events and checks that none is missing.
+Splits an event stream into whole events and checks that none is missing or
+incomplete.
 """
 
-__all__ = ('EventOrderError', 'EventSplitter')
+__all__ = (
+    'EventIncompleteError',
+    'EventOrderError',
+    'EventSplitter',
+    'EventStreamError',
+)
 
 import re
 
@@ -13,12 +19,22 @@
 
 _BOUNDARY = re.compile(rb'\r?\n\r?\n')
 _EVENT_ID = re.compile(rb'^id:\s*(\d+)\s*$', re.MULTILINE)
+#: What may follow the last event: empty lines and whole comments.
+_BETWEEN_EVENTS = re.compile(rb'(?:(?::[^\r\n]*)?\r?\n)*')
 
 
-class EventOrderError(BergamotshedError):
+class EventStreamError(BergamotshedError):
+    """Base class of the errors of an event stream."""
+
+
+class EventOrderError(EventStreamError):
     """An event is missing or came out of order."""
 
 
+class EventIncompleteError(EventStreamError):
+    """The stream ended inside an event, so it was broken off."""
+
+
 class EventSplitter:
     """Returns whole events in order, across the streams of several upstreams.
 
@@ -31,7 +47,7 @@
 
     @property
     def rest(self) -> bytes:
-        """Return the bytes of the incomplete event at the end."""
+        """Return the bytes after the last whole event."""
         return self._rest
 
     def feed(self, piece: bytes) -> bytes:
@@ -52,6 +68,15 @@
         self._rest = data[start:]
         return b''.join(whole)
 
+    def finish(self) -> bytes:
+        """Return the bytes after the last event, at the end of the stream.
+
+        :raises EventIncompleteError: they are part of an event
+        """
+        if _BETWEEN_EVENTS.fullmatch(self._rest) is None:
+            raise EventIncompleteError('the stream ended inside an event')
+        return self._rest
+
     def restart(self) -> None:
         """Discard an incomplete event before another upstream resumes."""
         self._rest = b''
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -21,7 +21,7 @@
     UpstreamNotReached,
 )
 from .dialect import Dialect
-from .events import EventOrderError, EventSplitter
+from .events import EventSplitter, EventStreamError
 from .outcome import AttemptOutcome, AttemptResult
 from .types import (
     AnswerMetadata,
@@ -66,8 +66,11 @@
             await self._sink.write(piece)
 
     async def finish(self, metadata: AnswerMetadata) -> None:
-        """Send the bytes after the last event and end the answer."""
-        await self.send(metadata, self.splitter.rest)
+        """Send the bytes after the last event and end the answer.
+
+        :raises EventIncompleteError: the stream ended inside an event
+        """
+        await self.send(metadata, self.splitter.finish())
         await self._sink.finish()
 
     def abort(self) -> None:
@@ -194,7 +197,7 @@
             if metadata.is_event_stream and _is_success(metadata):
                 return await self._relay_events(connection, metadata)
             return await self._read_plain(connection, metadata)
-        except (UpstreamAnswerBroken, EventOrderError) as error:
+        except (UpstreamAnswerBroken, EventStreamError) as error:
             return self._broken_result(str(error))
 
     def _find_flaw(self, metadata: AnswerMetadata) -> str:
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -2,7 +2,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamotshed.forwarding.events import EventOrderError, EventSplitter
+from bergamotshed.forwarding.events import (
+    EventIncompleteError,
+    EventOrderError,
+    EventSplitter,
+)
 
 
 def events(first: int, last: int) -> bytes:
@@ -54,3 +58,41 @@
     splitter = EventSplitter()
     assert splitter.feed(stream) == stream
     assert splitter.last_id == 1
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n'])
+def test_a_stream_ends_only_between_events(line_end: bytes) -> None:
+    stream = events(0, 2).replace(b'\n', line_end)
+    boundaries = {len(stream) * count // 3 for count in range(4)}
+    for position in range(len(stream) + 1):
+        splitter = EventSplitter()
+        splitter.feed(stream[:position])
+        if position in boundaries:
+            assert splitter.finish() == b''
+        else:
+            with pytest.raises(EventIncompleteError):
+                splitter.finish()
+
+
+@pytest.mark.parametrize(
+    'rest', [b'', b'\n', b'\r\n', b': comment\n', b'\n: a\r\n:\n']
+)
+def test_blank_lines_and_comments_may_follow_the_last_event(
+    rest: bytes,
+) -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(events(0, 1) + rest) + splitter.finish() == (
+        events(0, 1) + rest
+    )
+
+
+@pytest.mark.parametrize(
+    'rest', [b': comm', b'data', b'id: 2\n', b': a\ndata: x\n', b'\r']
+)
+def test_the_start_of_a_line_may_not_follow_the_last_event(
+    rest: bytes,
+) -> None:
+    splitter = EventSplitter()
+    splitter.feed(events(0, 1) + rest)
+    with pytest.raises(EventIncompleteError):
+        splitter.finish()
