Take a reset for a broken answer of a plain service, not for its end

Callers of the router program got a part of a plain service's answer as the whole of it, with status 200, where the answer had no length and its connection was reset.

Cause: aiohttp's client ends a body that lasts until the connection's end with success whatever ended the connection, and on uvloop a reset that arrives with the last data is reported as an ordinary end.

The client of plain services now uses the connections and the pool of bergamotshed.upstreams, which report both cases, in place of a second HTTP client. Connections that a service may just have closed are no longer used for a call, as calls may run once only; an encoded body is refused, as no encoding is asked for.

Not affected, by reading: engine streams, whose finish event states the number of tokens, and the clients of the log, the VM list, the weight store and the load reports, whose JSON bodies do not decode when they are cut.

--- a/src/bergamotshed/background.py
+++ b/src/bergamotshed/background.py
@@ -97,6 +97,7 @@
         engines.run,
         fleet_parts.heartbeats.run,
         fleet_parts.crashes.run,
+        core_parts.service_connections.run,
         control_parts.follower.run,
         control_parts.lease.run,
         control_parts.refresher.run,
--- a/src/bergamotshed/composition.py
+++ b/src/bergamotshed/composition.py
@@ -59,6 +59,7 @@
 from .services.client import HttpServiceClient
 from .settings import Settings
 from .telemetry import setup_logging
+from .upstreams.pool import ConnectionPool, PoolOptions
 
 TOKEN_KEY_BYTES = 32
 NANOSECONDS_PER_MICROSECOND = 1000
@@ -113,6 +114,10 @@
             traffic.count,
             settings.engines.connect_timeout,
         ),
+        service_connections=ConnectionPool(
+            PoolOptions(connect_timeout=settings.engines.connect_timeout),
+            clock,
+        ),
         boots=boots,
         reports=EngineReports(clock, boots),
     )
@@ -219,9 +224,7 @@
     plain = PlainDispatcher(
         core_parts.configuration,
         placer,
-        HttpServiceClient(
-            core_parts.session, clock, settings.engines.connect_timeout
-        ),
+        HttpServiceClient(core_parts.service_connections, clock),
         owner_claims,
         budget,
         clock,
--- a/src/bergamotshed/parts.py
+++ b/src/bergamotshed/parts.py
@@ -45,6 +45,7 @@
 from .routing.membership import Membership
 from .routing.quarantine import Quarantine
 from .settings import Settings
+from .upstreams.pool import ConnectionPool
 
 #: Coroutine function of a background task that runs until cancelled.
 TaskFunction = Callable[[], Awaitable[None]]
@@ -54,7 +55,8 @@
 class CoreParts:
     """The parts that all others depend on.
 
-    :ivar session: HTTP client for the platform, engines and services
+    :ivar session: HTTP client for the platform and engines
+    :ivar service_connections: connections to plain services
     :ivar configuration: the configuration in force
     :ivar boots: the current engine run of each engine
     :ivar reports: the latest load report of each engine
@@ -68,6 +70,7 @@
     configuration: ConfigurationInForce
     log: Log
     engines: EngineClient
+    service_connections: ConnectionPool
     boots: BootRegistry
     reports: EngineReports
 
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -17,6 +17,7 @@
     RequestMetadata,
     RoutedRequest,
 )
+from ..upstreams.parsing import headers_by_name, parse_keep_alive
 from ..upstreams.types import AnswerHead, Headers, ReportedLoad
 from . import names
 
@@ -75,7 +76,7 @@
         arrived_at: float,
     ) -> RoutedRequest:
         """Read a caller's request; see :meth:`Dialect.read_request`."""
-        by_name = {name.lower(): value for name, value in headers}
+        by_name = headers_by_name(headers)
         attempt = by_name.get(names.ATTEMPT, b'')
         if not attempt:
             raise RequestMalformed('the attempt id is missing')
@@ -114,7 +115,7 @@
 
     def read_answer(self, head: AnswerHead) -> AnswerMetadata:
         """Read the head of an answer."""
-        by_name = {name.lower(): value for name, value in head.headers}
+        by_name = headers_by_name(head.headers)
         content_type = by_name.get(b'content-type', b'').lower()
         encoding = by_name.get(b'content-encoding', b'identity').lower()
         return AnswerMetadata(
@@ -125,7 +126,7 @@
             is_encoded=encoding != b'identity',
             is_event_stream=content_type.startswith(EVENT_STREAM),
             delimitation=head.delimitation,
-            keep_alive_s=_parse_keep_alive(by_name),
+            keep_alive_s=parse_keep_alive(by_name),
             load=_parse_load(by_name.get(names.LOAD, b'')),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
@@ -209,16 +210,6 @@
     return int(tokens) if tokens.isdigit() else 0
 
 
-def _parse_keep_alive(by_name: dict[bytes, bytes]) -> float | None:
-    if b'close' in by_name.get(b'connection', b'').lower():
-        return 0
-    for parameter in by_name.get(b'keep-alive', b'').lower().split(b','):
-        name, _, seconds = parameter.strip().partition(b'=')
-        if name == b'timeout' and seconds.isdigit():
-            return float(seconds)
-    return None
-
-
 def _parse_load(value: bytes) -> ReportedLoad | None:
     numbers = [part.strip() for part in value.split(b',')]
     if len(numbers) != LOAD_FIELD_COUNT or not all(map(bytes.isdigit, numbers)):
--- a/src/bergamotshed/services/client.py
+++ b/src/bergamotshed/services/client.py
@@ -7,108 +7,114 @@
 
 __all__ = ('HttpServiceClient',)
 
+import asyncio
 from datetime import timedelta
+from http import HTTPStatus
 from urllib.parse import quote
 
-from aiohttp import (
-    ClientConnectorError,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    ConnectionTimeoutError,
-)
-
 from ..clock import Clock
 from ..retry_after import parse_retry_after
+from ..upstreams.connection import UpstreamConnection
+from ..upstreams.parsing import headers_by_name, parse_keep_alive
+from ..upstreams.pool import ConnectionPool
+from ..upstreams.types import UpstreamAnswerBroken, UpstreamNotReached
 from .types import (
     ServiceAnswer,
     ServiceClient,
     ServiceCut,
-    ServiceError,
     ServiceOverloaded,
     ServiceRequest,
     ServiceUnreachable,
 )
 
-CONNECT_TIMEOUT = timedelta(seconds=1)
-MIN_TIMEOUT_S = 0.001
-DEFAULT_CONTENT_TYPE = 'application/octet-stream'
+MIN_TIMEOUT = timedelta(milliseconds=1)
+DEFAULT_CONTENT_TYPE = b'application/octet-stream'
+NO_ENCODING = b'identity'
 
-HTTP_TOO_MANY_REQUESTS = 429
-HTTP_SERVER_ERROR = 500
-HTTP_UNAVAILABLE = 503
+_REFUSALS = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
 
 
 class HttpServiceClient(ServiceClient):
     """Calls plain services over HTTP.
 
-    :param connect_timeout: longest time to establish a connection
+    It uses the connections of :mod:`~bergamotshed.upstreams`, because the
+    usual clients take a reset for the end of an answer without a length.
     """
 
-    def __init__(
-        self,
-        session: ClientSession,
-        clock: Clock,
-        connect_timeout: timedelta = CONNECT_TIMEOUT,
-    ) -> None:
-        self._session = session
-        self._connect_timeout_s = connect_timeout.total_seconds()
+    def __init__(self, pool: ConnectionPool, clock: Clock) -> None:
+        self._pool = pool
         self._clock = clock
 
     async def call(
         self, address: str, request: ServiceRequest, timeout: timedelta
     ) -> ServiceAnswer:
         """Make one attempt; see :meth:`ServiceClient.call`."""
-        url = f'http://{address}/calls/{quote(request.call, safe="")}'
+        now = asyncio.get_running_loop().time()
+        deadline = now + max(timeout, MIN_TIMEOUT).total_seconds()
         try:
-            async with self._session.post(
-                url,
-                data=request.body,
-                headers=_headers(request),
-                timeout=ClientTimeout(
-                    total=max(timeout.total_seconds(), MIN_TIMEOUT_S),
-                    sock_connect=self._connect_timeout_s,
-                ),
-                allow_redirects=False,
-            ) as response:
-                return await self._read_answer(response)
-        except (ClientError, OSError, TimeoutError) as error:
-            raise _to_service_error(error) from error
-
-    async def _read_answer(self, response: ClientResponse) -> ServiceAnswer:
-        if response.status in {HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE}:
-            retry_after = response.headers.get('Retry-After', '')
+            async with asyncio.timeout_at(deadline):
+                connection = await self._pool.acquire(address, repeatable=False)
+        except (UpstreamNotReached, TimeoutError) as error:
+            raise ServiceUnreachable(
+                'the service could not be reached'
+            ) from error
+        keep_alive_s: float | None = 0
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer, keep_alive_s = await self._exchange(
+                    connection, address, request
+                )
+        except UpstreamAnswerBroken as error:
+            raise ServiceCut(f'the answer broke off: {error}') from error
+        except TimeoutError as error:
+            raise ServiceCut('no whole answer in time') from error
+        finally:
+            self._pool.release(connection, keep_alive_s)
+        return answer
+
+    async def _exchange(
+        self,
+        connection: UpstreamConnection,
+        address: str,
+        request: ServiceRequest,
+    ) -> tuple[ServiceAnswer, float | None]:
+        """Return the answer and the keep-alive time of the connection."""
+        if not connection.send(_write_request(address, request)):
+            raise ServiceUnreachable('the connection was closed')
+        head = await connection.read_head()
+        by_name = headers_by_name(head.headers)
+        if head.status in _REFUSALS:
+            retry_after = by_name.get(b'retry-after', b'').decode('latin-1')
             raise ServiceOverloaded(
                 parse_retry_after(retry_after, self._clock.now())
             )
-        if response.status >= HTTP_SERVER_ERROR:
-            raise ServiceCut(
-                f'the service answered with status {response.status}'
-            )
-        return ServiceAnswer(
-            response.status,
-            await response.read(),
-            response.headers.get('Content-Type', DEFAULT_CONTENT_TYPE),
+        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise ServiceCut(f'the service answered with status {head.status}')
+        encoding = by_name.get(b'content-encoding', NO_ENCODING)
+        if encoding.lower() != NO_ENCODING:
+            raise ServiceCut('the service answered with an encoded body')
+        answer = ServiceAnswer(
+            head.status,
+            await connection.read_body(),
+            by_name.get(b'content-type', DEFAULT_CONTENT_TYPE).decode(
+                'latin-1'
+            ),
         )
-
-
-def _headers(request: ServiceRequest) -> dict[str, str]:
-    headers = {
-        'Content-Type': request.content_type,
-        'X-Organisation': request.organisation,
-        'X-Request-Id': request.request_id,
-    }
+        return answer, parse_keep_alive(by_name)
+
+
+def _write_request(address: str, request: ServiceRequest) -> bytes:
+    lines = [
+        f'POST /calls/{quote(request.call, safe="")} HTTP/1.1',
+        f'Host: {address}',
+        f'Content-Type: {request.content_type}',
+        f'Content-Length: {len(request.body)}',
+        f'X-Organisation: {request.organisation}',
+        f'X-Request-Id: {request.request_id}',
+    ]
     if request.idempotency_key:
-        headers['Idempotency-Key'] = request.idempotency_key
-    return headers
-
-
-def _to_service_error(error: Exception) -> ServiceError:
-    """Return the service error for a transport error.
-
-    Only a failed connect proves that the call did not run.
-    """
-    if isinstance(error, ClientConnectorError | ConnectionTimeoutError):
-        return ServiceUnreachable('the service could not be reached')
-    return ServiceCut(f'the connection was cut: {type(error).__name__}')
+        lines.append(f'Idempotency-Key: {request.idempotency_key}')
+    head = '\r\n'.join((*lines, '', ''))
+    return head.encode('utf-8', 'surrogateescape') + request.body
--- a/src/bergamotshed/upstreams/connection.py
+++ b/src/bergamotshed/upstreams/connection.py
@@ -88,6 +88,16 @@
             cast(asyncio.Transport, self._transport).resume_reading()
         return part
 
+    async def read_body(self) -> bytes:
+        """Wait for the whole rest of the body.
+
+        :raises UpstreamAnswerBroken: the body is incomplete or malformed
+        """
+        pieces = []
+        while piece := await self.read_part():
+            pieces.append(piece)
+        return b''.join(pieces)
+
     def close(self) -> None:
         """Abort the connection; a request in flight is abandoned."""
         if self._transport is not None:
--- a/src/bergamotshed/upstreams/parsing.py
+++ b/src/bergamotshed/upstreams/parsing.py
@@ -5,9 +5,10 @@
 Parses the answer to one request and detects bytes that follow it.
 """
 
-__all__ = ('AnswerParser',)
+__all__ = ('AnswerParser', 'headers_by_name', 'parse_keep_alive')
 
 from collections import deque
+from collections.abc import Mapping
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
@@ -111,10 +112,30 @@
             self.keeps_connection_open = self._parser.should_keep_alive()
 
 
+def headers_by_name(headers: Headers) -> dict[bytes, bytes]:
+    """Return the headers by lower-case name; the last of a name counts."""
+    return {name.lower(): value for name, value in headers}
+
+
+def parse_keep_alive(by_name: Mapping[bytes, bytes]) -> float | None:
+    """Return how long the sender keeps the connection open while it is idle.
+
+    :param by_name: headers by lower-case name
+    :returns: seconds; zero if it closes the connection, ``None`` if not stated
+    """
+    if b'close' in by_name.get(b'connection', b'').lower():
+        return 0
+    for parameter in by_name.get(b'keep-alive', b'').lower().split(b','):
+        name, _, seconds = parameter.strip().partition(b'=')
+        if name == b'timeout' and seconds.isdigit():
+            return float(seconds)
+    return None
+
+
 def _find_delimitation(status: int, headers: Headers) -> Delimitation:
     if status in _BODILESS:
         return Delimitation.NO_BODY
-    names = {name.lower() for name, _ in headers}
+    names = headers_by_name(headers)
     if b'transfer-encoding' in names:
         return Delimitation.CHUNKS
     if b'content-length' in names:
--- a/src/bergamotshed/upstreams/pool.py
+++ b/src/bergamotshed/upstreams/pool.py
@@ -17,6 +17,8 @@
 from .connection import UpstreamConnection
 from .types import UpstreamNotReached
 
+SWEEP_INTERVAL = timedelta(seconds=1)
+
 
 @dataclass(frozen=True, slots=True)
 class PoolOptions:
@@ -125,6 +127,12 @@
             else:
                 del self._idle[address]
 
+    async def run(self) -> None:
+        """Sweep periodically until cancelled."""
+        while True:
+            await self._clock.sleep(SWEEP_INTERVAL)
+            self.sweep()
+
     def close(self) -> None:
         """Close all idle connections."""
         for connections in self._idle.values():
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -45,6 +45,7 @@
 )
 from bergamotshed.routing.view import FleetView, RouterNode
 from bergamotshed.services.client import HttpServiceClient
+from bergamotshed.upstreams.pool import ConnectionPool, PoolOptions
 from tests.standins.base import StandIn
 from tests.standins.engine import EngineStandIn
 from tests.standins.plain import PlainStandIn
@@ -236,6 +237,8 @@
         )
         active_placer: Placer = local if real_placer else placer
         claims = FakeClaims()
+        service_connections = ConnectionPool(PoolOptions(), clock)
+        stack.callback(service_connections.close)
         quarantine = Quarantine(clock)
         budget = RetryBudget()
         chat = ChatDispatcher(
@@ -250,7 +253,7 @@
         plain = PlainDispatcher(
             configuration,
             active_placer,
-            HttpServiceClient(session, clock),
+            HttpServiceClient(service_connections, clock),
             claims,
             budget,
             clock,
--- a/tests/engines/scripted.py
+++ b/tests/engines/scripted.py
@@ -4,6 +4,11 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
+from tests.standins.rawupstream import reset_connection
+
+#: Enough for the client to read the answer before the reset arrives.
+RESET_DELAY_S = 0.05
+
 HEAD = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'Connection: close\r\n\r\n'
@@ -15,12 +20,20 @@
 
     :param answers: bytes for each connection, in order; the last repeats
     :param hang: keep connections open after the answer
+    :param reset: reset connections some time after the answer
     :ivar received: heads of the requests, in order
     """
 
-    def __init__(self, answers: Sequence[bytes], *, hang: bool = False) -> None:
+    def __init__(
+        self,
+        answers: Sequence[bytes],
+        *,
+        hang: bool = False,
+        reset: bool = False,
+    ) -> None:
         self._answers = list(answers)
         self._is_hanging = hang
+        self._is_resetting = reset
         self._closing = asyncio.Event()
         self.received: list[bytes] = []
 
@@ -34,6 +47,10 @@
         await writer.drain()
         if self._is_hanging:
             await self._closing.wait()
+        if self._is_resetting:
+            await asyncio.sleep(RESET_DELAY_S)
+            reset_connection(writer)
+            return
         writer.close()
 
     def close(self) -> None:
@@ -43,10 +60,10 @@
 
 @asynccontextmanager
 async def scripted(
-    *answers: bytes, hang: bool = False
+    *answers: bytes, hang: bool = False, reset: bool = False
 ) -> AsyncIterator[tuple[str, ScriptedServer]]:
     """Run a scripted server; yield its address and the server."""
-    scripted_server = ScriptedServer(answers, hang=hang)
+    scripted_server = ScriptedServer(answers, hang=hang, reset=reset)
     server = await asyncio.start_server(scripted_server.serve, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
     try:
--- a/tests/upstreams/test_connection.py
+++ b/tests/upstreams/test_connection.py
@@ -1,7 +1,4 @@
 import asyncio
-import socket
-import struct
-import threading
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -22,6 +19,7 @@
     reset_connection,
     sealed_answer,
 )
+from tests.standins.resetting import read_from_resetting_upstream
 from tests.waiting import until
 
 REQUEST = b'GET /a/ HTTP/1.1\r\nBergamotshed-Attempt-Id: 1\r\n\r\n'
@@ -126,48 +124,21 @@
         assert not connection.is_reusable
 
 
-class ResettingUpstream(threading.Thread):
-    """Answers one request and resets the connection immediately afterwards."""
-
-    def __init__(self, listener: socket.socket, payload: bytes) -> None:
-        super().__init__(daemon=True)
-        self.request_received = threading.Event()
-        self.may_answer = threading.Event()
-        self.has_reset = threading.Event()
-        self._listener = listener
-        self._payload = payload
-
-    def run(self) -> None:
-        accepted, _ = self._listener.accept()
-        accepted.recv(65_536)
-        self.request_received.set()
-        self.may_answer.wait(5)
-        accepted.sendall(self._payload)
-        linger = struct.pack('ii', 1, 0)
-        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        accepted.close()
-        self.has_reset.set()
-
-
 async def test_a_reset_that_arrives_with_the_data_is_not_an_end() -> None:
     # With an answer of unknown length, data and reset were read together and
     # the reset counted as the end of the answer.
     request = RawRequest('', {'bergamotshed-attempt-id': '1'}, b'', 0)
-    payload = sealed_answer(request, b'who', sized=False)
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        listener.settimeout(5)
-        upstream = ResettingUpstream(listener, payload)
-        upstream.start()
-        address = f'127.0.0.1:{listener.getsockname()[1]}'
-        pool = ConnectionPool(PoolOptions(), SystemClock())
+    pool = ConnectionPool(PoolOptions(), SystemClock())
+
+    async def exchange(address: str) -> bytes:
         connection = await pool.acquire(address, repeatable=True)
         connection.send(REQUEST)
-        await until(upstream.request_received.is_set)
-        # Blocks the event loop until both data and reset are in the socket.
-        upstream.may_answer.set()
-        upstream.has_reset.wait(5)
-        with pytest.raises(UpstreamAnswerBroken):
-            await read_all(connection)
+        return await read_all(connection)
+
+    with pytest.raises(UpstreamAnswerBroken):
+        await read_from_resetting_upstream(
+            sealed_answer(request, b'who', sized=False), exchange
+        )
 
 
 async def extra_at_once(
