Reset the connection of an HTTP/1.0 caller whose answer is broken off

An HTTP/1.0 caller got a stream that was broken off as a whole one. Found by trying each way in which a body can end towards the caller.

Cause: an answer to HTTP/1.0 has no chunks, so the end of the connection is its end, and the sink aborted the connection with an ordinary close.

Evidence: test_a_cut_stream_never_looks_complete_to_an_http_1_0_caller failed before. HTTP/1.1 callers are not affected: their last chunk is missing.

--- a/src/bergamotshed/sockets.py
+++ b/src/bergamotshed/sockets.py
@@ -13,6 +13,7 @@
     'keepalive_socket',
     'listen',
     'listen_on_all',
+    'set_reset_on_close',
     'time_since_receive',
 )
 
@@ -38,6 +39,9 @@
 #: was last received.
 LAST_RECEIVED_MS_FORMAT = struct.Struct('=I')
 LAST_RECEIVED_OFFSET_BYTES = 52
+#: The kernel's ``struct linger``: whether it is enabled, and for how many
+#: seconds a close waits for unsent data; zero resets the connection.
+LINGER_FORMAT = struct.Struct('=ii')
 
 
 #: Listening sockets by address ``ip:port``.
@@ -47,7 +51,7 @@
 class OptionSocket(Protocol):
     """Option methods that sockets and asyncio's transport sockets share."""
 
-    def setsockopt(self, level: int, name: int, number: int) -> Any:
+    def setsockopt(self, level: int, name: int, number: int | bytes) -> Any:
         """Set a socket option."""
 
     def getsockopt(self, level: int, name: int, size: int) -> Any:
@@ -112,6 +116,16 @@
     return new_socket
 
 
+def set_reset_on_close(tcp_socket: OptionSocket, *, is_enabled: bool) -> None:
+    """Choose whether closing a connection resets it.
+
+    It applies however the connection is closed, also by the end of the
+    process.
+    """
+    linger = LINGER_FORMAT.pack(is_enabled, 0)
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def time_since_receive(connection: OptionSocket) -> timedelta:
     """Return the time since data was last received on a TCP connection.
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -11,7 +11,7 @@
     sealed_answer,
 )
 
-from .support import Script, running_gateway, send_request
+from .support import HOST, KEY, Script, running_gateway, send_request
 
 EVENTS = 'Content-Type: text/event-stream'
 
@@ -145,3 +145,41 @@
         response = await send_request(setup.port, '/stream/a')
         assert response.cut
         assert response.body
+
+
+async def read_http_1_0(port: int, path: str) -> bytes:
+    """Send an HTTP/1.0 request and read until the connection ends.
+
+    :raises ConnectionResetError: it was reset
+    """
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    lines = [
+        f'GET {path} HTTP/1.0',
+        f'Host: {HOST}',
+        'Bergamotshed-Attempt-Id: a1',
+        f'Authorization: Bearer {KEY}',
+    ]
+    writer.write('\r\n'.join((*lines, '', '')).encode())
+    try:
+        async with asyncio.timeout(10):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+async def test_an_http_1_0_caller_receives_a_whole_stream() -> None:
+    async def whole(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(sealed_answer(request, events(0, 2), extra=EVENTS))
+
+    async with running_gateway(whole) as setup:
+        received = await read_http_1_0(setup.port, '/stream/a')
+        assert received.partition(b'\r\n\r\n')[2] == events(0, 2)
+
+
+async def test_a_cut_stream_never_looks_complete_to_an_http_1_0_caller() -> (
+    None
+):
+    # Without chunks the answer ends with its connection.
+    async with running_gateway(cut_stream) as setup:
+        with pytest.raises(ConnectionResetError):
+            await read_http_1_0(setup.port, '/stream/a')
