Do not take a connection that ends before the first event for an empty stream

Nothing shows that the upstream had nothing to say, so the attempt is now broken: retried where the route allows it, 502 otherwise. An empty stream of stated length or chunks is passed on, and so is one that continues after the caller's last event.

--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -15,6 +15,7 @@
 from ..upstreams.connection import UpstreamConnection
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.types import (
+    Delimitation,
     Instance,
     ReportedLoad,
     UpstreamAnswerBroken,
@@ -225,6 +226,10 @@
             events = relay.splitter.feed(piece)
             if events:
                 await relay.send(metadata, events)
+        if self._lacks_events(metadata):
+            return self._broken_result(
+                'the connection ended before the first event'
+            )
         await relay.finish(metadata)
         return AttemptResult(
             AttemptOutcome.ANSWERED,
@@ -233,6 +238,14 @@
             is_answer_started=True,
         )
 
+    def _lacks_events(self, metadata: AnswerMetadata) -> bool:
+        """Return whether a stream ended empty without saying that it is."""
+        return (
+            metadata.delimitation is Delimitation.CONNECTION
+            and not self._relay.is_started
+            and self._request.last_event_id is None
+        )
+
     async def _read_plain(
         self, connection: UpstreamConnection, metadata: AnswerMetadata
     ) -> AttemptResult:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -1,6 +1,7 @@
 """Event streams over real sockets: complete, cut, resumed and timed out."""
 
 import asyncio
+from http import HTTPStatus
 from itertools import count
 
 import pytest
@@ -130,6 +131,26 @@
         assert len(setup.runs) == 2
 
 
+async def test_a_stream_that_ends_before_its_first_event_is_no_answer() -> None:
+    async def empty(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(delimited_answer(request, b'', 'connection'))
+        writer.close()
+
+    async with running_gateway(empty) as setup:
+        response = await send_request(setup.port, '/stream/a')
+        assert response.status == HTTPStatus.BAD_GATEWAY
+
+
+async def test_an_empty_stream_of_stated_length_is_an_answer() -> None:
+    async def empty(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(delimited_answer(request, b'', 'length'))
+
+    async with running_gateway(empty) as setup:
+        response = await send_request(setup.port, '/stream/a')
+        assert (response.status, response.body) == (HTTPStatus.OK, b'')
+        assert not response.cut
+
+
 async def test_a_stream_is_cut_at_the_routes_timeout() -> None:
     async def endless(
         request: RawRequest, writer: asyncio.StreamWriter
