Split event streams whose lines end with CR

Streams that end their lines with a single CR were held back to their end, as no event boundary was found in them, and since the end inside an event is a failure they would be broken off. The splitter now accepts the three line ends of the event stream format; a CR at the end of the received data waits for its LF where the stream uses CRLF, so that a cut between the two is still seen.

--- a/src/bergamotshed/forwarding/events.py
+++ b/src/bergamotshed/forwarding/events.py
@@ -17,10 +17,13 @@
 
 from ..errors import BergamotshedError
 
-_BOUNDARY = re.compile(rb'\r?\n\r?\n')
-_EVENT_ID = re.compile(rb'^id:\s*(\d+)\s*$', re.MULTILINE)
+# A line ends with CRLF, LF or CR; the two bytes of a CRLF are one line end.
+_LINE_END = rb'(?:\r\n|\n|\r(?!\n))'
+# A CR at the end of the data may be half of a CRLF, unless it follows a CR.
+_BOUNDARY = re.compile(_LINE_END + rb'(?:\r\n|\n|\r(?!\n|\Z))' + rb'|\r\r')
+_EVENT_ID = re.compile(rb'(?:\A|[\r\n])id:[ \t]*(\d+)[ \t]*[\r\n]')
 #: What may follow the last event: empty lines and whole comments.
-_BETWEEN_EVENTS = re.compile(rb'(?:(?::[^\r\n]*)?\r?\n)*')
+_BETWEEN_EVENTS = re.compile(rb'(?:(?::[^\r\n]*)?' + _LINE_END + rb')*')
 
 
 class EventStreamError(BergamotshedError):
