--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -52,7 +52,8 @@
 
     :ivar mode: behaviour of about half of its answers: ``fine`` (normal),
         ``mute`` (5 seconds late), ``reset``, ``fail`` (status 500), ``full``
-        (not run, 503) or ``extra`` (a second answer after the first)
+        (not run, 503), ``extra`` (a second answer after the first) or ``cut``
+        (closes the connection within the answer)
     :ivar drained_at: monotonic time in seconds at which the store
         acknowledged its state ``draining``, or ``None``
     """
@@ -108,14 +109,36 @@
                 sealed_answer(request, b'no', '500 Internal Server Error')
             )
             return
+        if mode == 'cut':
+            await self._cut_answer(request, writer)
+            return
         await self._answer(request, writer)
         if mode == 'extra':
             writer.write(sealed_answer(request, b'once more'))
 
+    async def _cut_answer(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Cut a sized answer, or a stream that ends with its connection."""
+        if not _is_stream(request):
+            writer.write(sealed_answer(request, expected_body(request))[:-1])
+            writer.close()
+            return
+        first = int(request.headers.get('last-event-id', -1)) + 1
+        head = sealed_answer(request, b'', sized=False, extra=STREAM_HEADER)
+        events = expected_events(request.attempt, first, EVENT_COUNT - 1)
+        end = self._rng.randrange(max(1, len(events)))
+        if not end or events.endswith(b'\n\n', 0, end):
+            # Only inside an event can it be told from the end of the stream.
+            end += 1
+        writer.write(head + events[:end])
+        await writer.drain()
+        writer.close()
+
     async def _answer(
         self, request: RawRequest, writer: asyncio.StreamWriter
     ) -> None:
-        if not request.line.split()[1].startswith(('/stream/', '/resumed/')):
+        if not _is_stream(request):
             writer.write(sealed_answer(request, expected_body(request)))
             return
         first = int(request.headers.get('last-event-id', -1)) + 1
@@ -144,6 +167,10 @@
     )
 
 
+def _is_stream(request: RawRequest) -> bool:
+    return request.line.split()[1].startswith(('/stream/', '/resumed/'))
+
+
 def _refusal(
     request: RawRequest, status: str, is_not_run: bool = False
 ) -> bytes:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -154,7 +154,7 @@
     async def inject(self, fleet: Fleet) -> None:
         engine = self.rng.choice(fleet.engines)
         engine.mode = self.rng.choice(
-            ('mute', 'reset', 'fail', 'full', 'extra')
+            ('mute', 'reset', 'fail', 'full', 'extra', 'cut')
         )
         await asyncio.sleep(self.duration_s)
         engine.mode = 'fine'
