List the topics again when the store comes back from an older copy

After a drill the store may hold less than it has acknowledged, give the same offsets out again and answer reads of the lost ones with other records. A follower whose offset existed again read on from it and never saw the records in between; routers that share reads mixed records of two histories.

The era that the store states is now part of a position in a topic, decoded in platform/. A read whose answer is of another era raises, as one of expired records does, and the topic is listed; a listing whose pages are of several eras is given up; changes that a peer read are relayed only within their era. The routers spread these listings in proportion to their number, and list ever less often while no read succeeds in between. A missing, malformed or lower era is logged and taken for another history. Upstreams that a listing lacks after a return have the same time to register again as after an outage. One log line for each return and topic, one counter.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -10,6 +10,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 from aiohttp import ClientSession
@@ -89,6 +90,10 @@
 ROUTERS_BATCH_PAUSE = timedelta(seconds=1)
 
 MILLISECOND = timedelta(milliseconds=1)
+#: Time over which the routers spread their calls when all learn at once that
+#: the store came back from an older copy: three listings of one or two pages
+#: and a write for each router stay below the store's rates.
+SPREAD_PER_ROUTER = timedelta(milliseconds=4)
 
 
 def build_gateway(
@@ -197,10 +202,16 @@
             ),
             health,
             clock,
+            lambda: _spread(roster),
         ),
     )
 
 
+def _spread(roster: Roster) -> timedelta:
+    """Draw a pause before a call that all routers are about to make."""
+    return random.random() * roster.count() * SPREAD_PER_ROUTER
+
+
 def _live_in_domain(
     own: RosterEntry, roster: Roster, heartbeats: GatewayHeartbeats
 ) -> list[str]:
@@ -216,9 +227,12 @@
     store: KeyedStore,
     health: StoreHealth,
     clock: Clock,
+    relist_delay: Callable[[], timedelta],
 ) -> dict[Topic, TopicFollower]:
     return {
-        topic: TopicFollower(store, topic, consumer, options, health, clock)
+        topic: TopicFollower(
+            store, topic, consumer, options, health, clock, relist_delay
+        )
         for topic, (consumer, options) in consumers.items()
     }
 
--- a/src/bergamotshed/gateway/inspection.py
+++ b/src/bergamotshed/gateway/inspection.py
@@ -154,6 +154,12 @@
             for outcome, count in fleet.store_health.calls.items()
         ],
     )
+    meters.counter(
+        'bergamotshed_store_returns',
+        '1',
+        'Returns of the store from an older copy',
+        lambda: [Sample(fleet.store_health.return_count)],
+    )
     meters.counter(
         'bergamotshed_control_bytes',
         'By',
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -10,6 +10,7 @@
     'CACHE_SOURCE',
     'CONFIGURATION_KEY',
     'DEADLINE',
+    'ERA',
     'HTTP_GONE',
     'INSTANCE_EXPECTED',
     'LOAD',
@@ -39,6 +40,10 @@
 }
 CONFIGURATION_KEY = 'config'
 
+#: Header of all the store's answers: a number that rises by one each time the
+#: store comes back from an older copy.
+ERA = 'Store-Era'
+
 #: Status of a read from an offset whose records are no longer retained.
 HTTP_GONE = 410
 
--- a/src/bergamotshed/platform/store.py
+++ b/src/bergamotshed/platform/store.py
@@ -9,17 +9,20 @@
 
 import struct
 from collections.abc import Iterator
+from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
 
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from ..store.eras import EraReader
 from ..store.types import (
     Changes,
     Entry,
     KeyedStore,
     Listing,
+    Position,
     StoreHistoryGone,
     StoreUnavailable,
     Topic,
@@ -56,6 +59,17 @@
     has_more: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """A successful answer.
+
+    :ivar era: number of the store's history; ``None`` if not stated
+    """
+
+    body: bytes
+    era: int | None
+
+
 class PlatformStore(KeyedStore):
     """Calls the store over HTTP.
 
@@ -66,39 +80,48 @@
     def __init__(self, address: str, session: ClientSession) -> None:
         self._base = f'http://{address}'
         self._session = session
+        self._eras = EraReader()
         self.calls = 0
 
     async def newest(self, topic: Topic) -> Listing:
         """List the newest record of each key, page by page."""
         entries: list[Entry] = []
         query = {'topic': names.TOPICS[topic], 'part': PARTITION}
-        end: int | None = None
+        end: Position | None = None
         while True:
-            body = await self._get('/log-newest', query, timedelta(0))
-            page = _decode_page(body)
+            answer = await self._get('/log-newest', query, timedelta(0))
+            page = _decode_page(answer.body)
             entries.extend(
                 Entry(entry.key, entry.value) for entry in page.entries
             )
             # Later pages may hold newer records; changes after the first page
             # are read again, so no change is missed.
-            end = page.end if end is None else end
+            end = Position(answer.era, page.end) if end is None else end
+            if answer.era != end.era:
+                raise StoreUnavailable('the era changed during the listing')
             if not page.has_more or not page.entries:
                 return Listing(tuple(entries), end)
             query = {**query, 'after': page.entries[-1].key}
 
-    async def read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
-        """Read the records from an offset on."""
+    async def read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
+        """Read the records from a position on."""
         query = {
             'topic': names.TOPICS[topic],
             'part': PARTITION,
-            'from': str(start),
+            'from': str(start.offset),
             'wait_ms': str(wait // timedelta(milliseconds=1)),
         }
-        body = await self._get('/log-read', query, wait)
-        records = tuple(_split_records(body))
+        answer = await self._get('/log-read', query, wait)
+        if answer.era != start.era:
+            raise StoreHistoryGone(
+                f'/log-read: the era is {answer.era}, not {start.era}'
+            )
+        records = tuple(_split_records(answer.body))
         return Changes(
             tuple(_decode_record(record) for record in records),
-            start + len(records),
+            start.advanced_by(len(records)),
         )
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
@@ -115,7 +138,7 @@
 
     async def _get(
         self, path: str, query: dict[str, str], wait: timedelta
-    ) -> bytes:
+    ) -> StoreAnswer:
         return await self._call('GET', path, query, wait, None)
 
     async def _call(
@@ -125,10 +148,10 @@
         query: dict[str, str],
         wait: timedelta,
         payload: bytes | None,
-    ) -> bytes:
+    ) -> StoreAnswer:
         self.calls += 1
         try:
-            status, body = await self._exchange(
+            status, answer = await self._exchange(
                 method, path, query, wait, payload
             )
         except (ClientError, OSError) as error:
@@ -139,7 +162,7 @@
             )
         if status != HTTPStatus.OK:
             raise StoreUnavailable(f'{path}: status {status}')
-        return body
+        return answer
 
     async def _exchange(
         self,
@@ -148,7 +171,7 @@
         query: dict[str, str],
         wait: timedelta,
         payload: bytes | None,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, StoreAnswer]:
         timeout = ClientTimeout(
             total=(wait + ANSWER_TIMEOUT).total_seconds(),
             sock_connect=CONNECT_TIMEOUT_S,
@@ -161,7 +184,11 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            return response.status, await response.read()
+            body = await response.read()
+            era = None
+            if response.status == HTTPStatus.OK:
+                era = self._eras.read(response.headers.get(names.ERA))
+            return response.status, StoreAnswer(body, era)
 
 
 def _decode_page(body: bytes) -> NewestBody:
--- a/src/bergamotshed/routers/storemessages.py
+++ b/src/bergamotshed/routers/storemessages.py
@@ -20,12 +20,14 @@
         is a change
     :ivar max_age: milliseconds; changes that were confirmed longer ago are not
         wanted
+    :ivar era: era of the offset
     """
 
     topic: str
     start: int
     wait: int
     max_age: int
+    era: int | None = None
 
 
 class ChangesAnswer(Struct, frozen=True, array_like=True, tag=26):
@@ -36,9 +38,11 @@
     :ivar end: offset after the last change
     :ivar age: milliseconds from the call of the store that confirmed these
         changes until the question arrived; negative if the call came later
+    :ivar era: era of the offset
     """
 
     is_known: bool
     entries: tuple[tuple[str, bytes], ...] = ()
     end: int = 0
     age: int = 0
+    era: int | None = None
--- a/src/bergamotshed/routers/storerelay.py
+++ b/src/bergamotshed/routers/storerelay.py
@@ -5,8 +5,9 @@
 Reads topics of the store through a peer, so that the calls to the store don't
 grow with the number of routers.
 
-Offsets are the store's own, so a router changes between its reader and the
-store at any point without missing a change. It reads the store itself while
+Positions are the store's own, so a router changes between its reader and the
+store at any point without missing a change, and a reader with another history
+has no answer. It reads the store itself while
 its reader does not answer or can't read the store either.
 """
 
@@ -26,6 +27,7 @@
     Entry,
     KeyedStore,
     Listing,
+    Position,
     StoreError,
     Topic,
 )
@@ -85,8 +87,10 @@
         """Write the value of a key."""
         await self._store.put(topic, key, value)
 
-    async def read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
-        """Read the changes from an offset on.
+    async def read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
+        """Read the changes from a position on.
 
         A read without a wait is for the present state and goes to the store.
         """
@@ -101,7 +105,9 @@
         recent.record(start, changes, read_at)
         return changes
 
-    async def _read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
+    async def _read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
         reader = find_reader(topic.value, self._node, self._routers())
         if reader is None or not wait or self._is_silent(reader):
             return await self._store.read(topic, start, wait)
@@ -110,9 +116,10 @@
             reader,
             ChangesRequest(
                 topic.value,
-                start,
+                start.offset,
                 hold // MILLISECOND,
                 wait * MAX_AGE_IN_WAITS // MILLISECOND,
+                start.era,
             ),
             ASK_TIMEOUT,
             hold + HOLD_MARGIN,
@@ -120,11 +127,11 @@
         if not isinstance(answer, ChangesAnswer):
             self._record_silent(reader, topic)
             return await self._store.read(topic, start, timedelta(0))
-        if not answer.is_known:
+        if not answer.is_known or answer.era != start.era:
             return await self._store.read(topic, start, wait)
         return Changes(
             tuple(Entry(key, value) for key, value in answer.entries),
-            answer.end,
+            Position(answer.era, answer.end),
             is_relayed=True,
             age=answer.age * MILLISECOND,
         )
@@ -146,10 +153,11 @@
         """Answer a peer once there is a change or this router has read."""
         arrived_at = self._clock.boottime()
         recent = self._recent[Topic(request.topic)]
-        changes = recent.since(request.start)
+        start = Position(request.era, request.start)
+        changes = recent.since(start)
         if changes is not None and not changes.entries:
             await recent.wait(request.wait * MILLISECOND)
-            changes = recent.since(request.start)
+            changes = recent.since(start)
         if changes is None or _size(changes) > MAX_RELAYED_BYTES:
             return ChangesAnswer(is_known=False)
         age_s = arrived_at - recent.read_at
@@ -161,8 +169,9 @@
             entries=tuple(
                 (entry.key, entry.value) for entry in changes.entries
             ),
-            end=changes.end,
+            end=changes.end.offset,
             age=age_ms,
+            era=changes.end.era,
         )
 
 
--- a/src/bergamotshed/store/follower.py
+++ b/src/bergamotshed/store/follower.py
@@ -10,7 +10,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -21,6 +21,7 @@
 from .health import StoreHealth
 from .types import (
     KeyedStore,
+    Position,
     StoreError,
     StoreHistoryGone,
     Topic,
@@ -49,9 +50,15 @@
     settle: timedelta = timedelta(0)
 
 
+def _no_delay() -> timedelta:
+    return NO_WAIT
+
+
 class TopicFollower:
     """Lists a topic once, then reads its changes.
 
+    :param relist_delay: draws the pause before the topic is listed again, so
+        that not all routers do so at the same moment
     :ivar listed: set once the topic has been listed
     """
 
@@ -63,6 +70,7 @@
         options: FollowerOptions,
         health: StoreHealth,
         clock: Clock,
+        relist_delay: Callable[[], timedelta] = _no_delay,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -71,7 +79,10 @@
         self._health = health
         self._clock = clock
         self.listed = asyncio.Event()
-        self._next: int | None = None
+        self._next: Position | None = None
+        self._last_known: Position | None = None
+        self._relist_delay = relist_delay
+        self._has_read_since_listing = True
         self._is_reachable = True
         self._confirm_retry_at = -math.inf
         self._backoff = Backoff(
@@ -117,27 +128,51 @@
             log_message(
                 'store.history_gone',
                 topic=self._topic.value,
-                offset=self._next,
+                offset=None if self._next is None else self._next.offset,
                 detail=str(error),
             )
             self._next = None
-            return NO_WAIT
+            return self._pause_before_listing()
         except StoreError as error:
             self._health.record_failure()
             self._record_reachable(is_reachable=False, detail=str(error))
             return self._backoff.next_pause()
-        self._backoff.reset()
+        if self._has_read_since_listing:
+            self._backoff.reset()
         self._record_reachable(is_reachable=True)
         return self._options.settle if must_settle else NO_WAIT
 
+    def _pause_before_listing(self) -> timedelta:
+        """Return the pause; it grows if no read succeeds between listings."""
+        pause = self._relist_delay()
+        if not self._has_read_since_listing:
+            pause += self._backoff.next_pause()
+        return pause
+
+    async def _list(self, sent_at: float) -> None:
+        listing = await self._store.newest(self._topic)
+        self._health.record_success()
+        self._health.record_era(listing.end.era)
+        before = self._last_known
+        if before is not None and before.era != listing.end.era:
+            log_message(
+                'store.returned',
+                topic=self._topic.value,
+                era=listing.end.era,
+                offset=listing.end.offset,
+                entries=len(listing.entries),
+                era_before=before.era,
+                offset_before=before.offset,
+            )
+        self._consumer.replace_entries(listing.entries, sent_at)
+        self._move_to(listing.end)
+        self._has_read_since_listing = False
+        self.listed.set()
+
     async def _advance(self, sent_at: float) -> bool:
         """Make the call; return whether to pause before the next one."""
         if self._next is None:
-            listing = await self._store.newest(self._topic)
-            self._health.record_success()
-            self._consumer.replace_entries(listing.entries, sent_at)
-            self._next = listing.end
-            self.listed.set()
+            await self._list(sent_at)
             return False
         # The first read after a failure doesn't wait for changes, so that the
         # return of the store is noticed at once.
@@ -147,10 +182,15 @@
         self._consumer.apply_changes(
             changes.entries, sent_at - changes.age.total_seconds()
         )
-        self._next = changes.end
+        self._move_to(changes.end)
+        self._has_read_since_listing = True
         # A peer that reads for this router gathers changes itself.
         return bool(changes.entries) and not changes.is_relayed
 
+    def _move_to(self, position: Position) -> None:
+        self._next = position
+        self._last_known = position
+
     def _record_reachable(
         self, *, is_reachable: bool, detail: str = ''
     ) -> None:
--- a/src/bergamotshed/store/health.py
+++ b/src/bergamotshed/store/health.py
@@ -5,7 +5,7 @@
 Whether the store answers, over all topics that are followed.
 """
 
-__all__ = ('StoreHealth',)
+__all__ = ('RETURN_WINDOW', 'StoreHealth')
 
 import math
 from collections import Counter
@@ -18,6 +18,10 @@
 #: report to the store: half of the three report intervals that an entry
 #: survives without a new report.
 OUTAGE_AFTER = timedelta(milliseconds=1500)
+#: How long after an outage, or a return from an older copy, an entry may be
+#: missing before its owner has written it again; the platform guarantees about
+#: two seconds.
+RETURN_WINDOW = timedelta(milliseconds=2200)
 
 
 class StoreHealth:
@@ -28,6 +32,9 @@
         self._answered_at = -math.inf
         self._is_failing = False
         self._returned_at = -math.inf
+        self._era: int | None = None
+        self._has_listed = False
+        self._return_count = 0
         self._calls = Counter({'answered': 0, 'failed': 0})
 
     @property
@@ -35,13 +42,26 @@
         """Return the calls by outcome since the start."""
         return self._calls
 
+    @property
+    def return_count(self) -> int:
+        """Return how often the store came back from an older copy."""
+        return self._return_count
+
     @property
     def outage_ended_at(self) -> float:
-        """Return the boot time at which the last outage ended; minus
-        infinity before the first one.
+        """Return the boot time at which the last outage ended or the store
+        came back from an older copy; minus infinity before the first time.
         """
         return self._returned_at
 
+    def record_era(self, era: int | None) -> None:
+        """Record the era of a listing."""
+        if self._has_listed and era != self._era:
+            self._return_count += 1
+            self._returned_at = self._clock.boottime()
+        self._era = era
+        self._has_listed = True
+
     def record_failure(self) -> None:
         """Record a call without a usable answer."""
         self._calls['failed'] += 1
--- a/src/bergamotshed/store/recent_changes.py
+++ b/src/bergamotshed/store/recent_changes.py
@@ -13,7 +13,7 @@
 from datetime import timedelta
 from itertools import islice
 
-from .types import Changes, Entry
+from .types import Changes, Entry, Position
 
 #: Changes that are kept; peers that need earlier ones read the store.
 MAX_ENTRIES = 256
@@ -28,12 +28,12 @@
     def __init__(self) -> None:
         self.read_at = -math.inf
         self._entries: deque[Entry] = deque()
-        self._end = 0
+        self._end = Position(None, 0)
         self._is_current = False
         self._waiters: set[asyncio.Future[None]] = set()
 
-    def record(self, start: int, changes: Changes, read_at: float) -> None:
-        """Record a read that began at an offset."""
+    def record(self, start: Position, changes: Changes, read_at: float) -> None:
+        """Record a read that began at a position."""
         if start != self._end:
             self._entries.clear()
         self._entries.extend(changes.entries)
@@ -49,12 +49,17 @@
         self._is_current = False
         self._wake()
 
-    def since(self, start: int) -> Changes | None:
-        """Return the changes from an offset on; ``None`` if unknown."""
-        first = self._end - len(self._entries)
-        if not self._is_current or not first <= start <= self._end:
+    def since(self, start: Position) -> Changes | None:
+        """Return the changes from a position on; ``None`` if unknown."""
+        end = self._end
+        first = end.offset - len(self._entries)
+        if (
+            not self._is_current
+            or start.era != end.era
+            or not first <= start.offset <= end.offset
+        ):
             return None
-        entries = islice(self._entries, start - first, None)
+        entries = islice(self._entries, start.offset - first, None)
         return Changes(tuple(entries), self._end)
 
     async def wait(self, timeout: timedelta) -> None:
--- a/src/bergamotshed/store/types.py
+++ b/src/bergamotshed/store/types.py
@@ -10,6 +10,7 @@
     'Entry',
     'KeyedStore',
     'Listing',
+    'Position',
     'StoreError',
     'StoreHistoryGone',
     'StoreUnavailable',
@@ -35,7 +36,7 @@
 
 
 class StoreHistoryGone(StoreError):
-    """The requested changes are no longer retained; list the topic again."""
+    """The requested changes can't be read any more; list the topic again."""
 
 
 class Topic(Enum):
@@ -46,6 +47,25 @@
     ROUTERS = 'routers'
 
 
+@dataclass(frozen=True, slots=True)
+class Position:
+    """A place in the history of a topic.
+
+    After a return from an older copy the store gives out the same offsets
+    again, so offsets of different eras have nothing in common.
+
+    :ivar era: number of the store's history, which rises with each return;
+        ``None`` if the store does not state it
+    """
+
+    era: int | None
+    offset: int
+
+    def advanced_by(self, count: int) -> 'Position':
+        """Return the position after a number of changes."""
+        return Position(self.era, self.offset + count)
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     """The value of one key at one offset.
@@ -64,25 +84,25 @@
     Several calls may have been needed, so it isn't a snapshot: apply the
     changes from ``end`` on to it.
 
-    :ivar end: offset from which to read changes
+    :ivar end: position from which to read changes
     """
 
     entries: tuple[Entry, ...]
-    end: int
+    end: Position
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
     """Consecutive changes of a topic.
 
-    :ivar end: offset from which to read the next changes
+    :ivar end: position from which to read the next changes
     :ivar is_relayed: a peer has read them
     :ivar age: how long before this call the store was read; negative if it
         was read after the call began
     """
 
     entries: tuple[Entry, ...]
-    end: int
+    end: Position
     is_relayed: bool = False
     age: timedelta = timedelta(0)
 
@@ -98,12 +118,15 @@
         """
 
     @abstractmethod
-    async def read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
-        """Read the changes from an offset on.
+    async def read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
+        """Read the changes from a position on.
 
         :param wait: how long the store may hold the answer back until there
             is a change
-        :raises StoreHistoryGone: changes from there on are no longer retained
+        :raises StoreHistoryGone: changes from there on are no longer retained,
+            or the position is of another era than the store's present one
         :raises StoreUnavailable: the store can't be read now
         """
 
--- a/src/bergamotshed/upstreams/registry.py
+++ b/src/bergamotshed/upstreams/registry.py
@@ -10,19 +10,15 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from datetime import timedelta
 
 from eliot import log_message
 
 from ..clock import Clock
 from ..errors import BergamotshedError
-from ..store.health import StoreHealth
+from ..store.health import RETURN_WINDOW, StoreHealth
 from ..store.types import Entry, TopicConsumer
 from .types import Instance
 
-#: How long after an outage of the store a removed entry may be listed again;
-#: the platform guarantees about two seconds.
-RETURN_WINDOW = timedelta(milliseconds=2200)
 #: Maximum number of removed upstreams whose last report is kept, and of names
 #: of malformed entries that are logged.
 MAX_REMEMBERED = 4096
--- a/tests/routers/test_storerelay.py
+++ b/tests/routers/test_storerelay.py
@@ -19,6 +19,8 @@
     Entry,
     KeyedStore,
     Listing,
+    Position,
+    StoreHistoryGone,
     StoreUnavailable,
     Topic,
 )
@@ -48,13 +50,18 @@
     def __init__(self) -> None:
         self.calls: Counter[str] = Counter()
         self.refused: set[str] = set()
+        self.era = 1
         self._records: list[Entry] = []
         self._changed = asyncio.Event()
 
     async def newest(self, topic: Topic) -> Listing:
-        raise AssertionError
+        return Listing(
+            tuple(self._records), Position(self.era, len(self._records))
+        )
 
-    async def read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
+    async def read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
         raise AssertionError
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
@@ -62,18 +69,30 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def return_from_copy(self, count: int) -> None:
+        """Come back with the first records only, as a new era."""
+        del self._records[count:]
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def read_as(
-        self, router: str, start: int, wait: timedelta
+        self, router: str, start: Position, wait: timedelta
     ) -> Changes:
         self.calls[router] += 1
         self._check(router)
-        if start >= len(self._records) and wait:
+        if start.offset >= len(self._records) and wait:
             await asyncio.wait(
                 (asyncio.ensure_future(self._changed.wait()),),
                 timeout=wait.total_seconds(),
             )
             self._check(router)
-        return Changes(tuple(self._records[start:]), len(self._records))
+        if start.era != self.era:
+            raise StoreHistoryGone('another era')
+        return Changes(
+            tuple(self._records[start.offset :]),
+            Position(self.era, len(self._records)),
+        )
 
     def _check(self, router: str) -> None:
         if router in self.refused:
@@ -90,7 +109,9 @@
     async def newest(self, topic: Topic) -> Listing:
         return await self._shared.newest(topic)
 
-    async def read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
+    async def read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
         return await self._shared.read_as(self._router, start, wait)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
@@ -116,7 +137,7 @@
             lambda: self.live,
             self.clock,
         )
-        self._next = 0
+        self._next = Position(1, 0)
 
     @property
     def node(self) -> RouterNode:
@@ -128,6 +149,10 @@
                 await self.step(WAIT)
             except StoreUnavailable:
                 await asyncio.sleep(0.05)
+            except StoreHistoryGone:
+                listing = await self.relay.newest(TOPIC)
+                self.keys = [entry.key for entry in listing.entries]
+                self._next = listing.end
 
     async def step(self, wait: timedelta) -> Changes:
         called_at = self.clock.boottime()
@@ -332,3 +357,18 @@
         changes = await created.routers[OTHERS[0]].step(NO_WAIT)
         assert not changes.is_relayed
         assert created.store.calls[OTHERS[0]] == 1
+
+
+async def test_routers_with_a_reader_follow_a_store_that_returns() -> None:
+    async with fleet() as created:
+        created.follow(*NAMES)
+        for key in ('kept', 'lost', 'lost too'):
+            await created.store.put(TOPIC, key, b'1')
+        everyone = created.routers.values()
+        await until(lambda: all(len(router.keys) == 3 for router in everyone))
+        created.store.return_from_copy(1)
+        # New records get the offsets of the lost ones.
+        for key in ('new', 'new too', 'last'):
+            await created.store.put(TOPIC, key, b'1')
+        expected = ['kept', 'new', 'new too', 'last']
+        await until(lambda: all(router.keys == expected for router in everyone))
--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -30,6 +30,9 @@
     :ivar answer_delay_s: delay of each answer
     :ivar called_paths: the path of each call, in order
     :ivar first_offsets: first offset that can still be read, by topic
+    :ivar era: number of its history, in the headers of its answers; ``None``
+        for a store that does not state it
+    :ivar era_header: text of that header if it is to be wrong
     """
 
     def __init__(self) -> None:
@@ -41,8 +44,11 @@
         self.called_paths: list[str] = []
         self.records: dict[str, list[tuple[str, bytes]]] = {}
         self.first_offsets: dict[str, int] = {}
+        self.era: int | None = None
+        self.era_header: str | None = None
         self._changed = asyncio.Event()
         self._drop_count = 0
+        self._returns = 0
 
     @asynccontextmanager
     async def serving(self) -> AsyncIterator['KeyedStoreStandIn']:
@@ -73,6 +79,23 @@
         """Drop the history of a topic but for the newest record of each key."""
         self.first_offsets[topic] = len(self.records.get(topic, []))
 
+    def copy(self) -> dict[str, int]:
+        """Return a copy to come back from: the number of records by topic."""
+        return {topic: len(held) for topic, held in self.records.items()}
+
+    def return_from(self, copy: dict[str, int]) -> None:
+        """Lose all records since a copy and begin a new era.
+
+        Calls that wait are cut, as the store was away for a moment.
+        """
+        self.records = {
+            topic: held[: copy.get(topic, 0)]
+            for topic, held in self.records.items()
+        }
+        self.era = (self.era or 0) + 1
+        self._returns += 1
+        self._notify()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -84,6 +107,15 @@
         await asyncio.sleep(self.answer_delay_s)
         if self.error_status:
             return web.Response(status=self.error_status)
+        returns = self._returns
+        response = await self._answer(request)
+        if returns != self._returns and request.transport is not None:
+            request.transport.abort()
+        if self.era is not None:
+            response.headers['Store-Era'] = self.era_header or str(self.era)
+        return response
+
+    async def _answer(self, request: BaseRequest) -> web.Response:
         if request.path == '/log-newest':
             return self._newest(request)
         if request.path == '/log-append':
@@ -115,11 +147,13 @@
         topic = request.query['topic']
         start = int(request.query['from'])
         wait = int(request.query.get('wait_ms', 0)) / 1000
-        if start < self.first_offsets.get(topic, 0):
+        is_beyond_end = start > len(self.records.get(topic, []))
+        if is_beyond_end or start < self.first_offsets.get(topic, 0):
             return web.json_response({}, status=410)
         drop_count = self._drop_count
+        returns = self._returns
         deadline = asyncio.get_running_loop().time() + wait
-        while (
+        while returns == self._returns and (
             self.ignores_new_records
             or len(self.records.get(topic, [])) <= start
         ):
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -3,6 +3,8 @@
 from contextlib import suppress
 from datetime import timedelta
 
+import pytest
+
 from bergamotshed.clock import ManualClock
 from bergamotshed.store.follower import FollowerOptions, TopicFollower
 from bergamotshed.store.health import StoreHealth
@@ -11,6 +13,7 @@
     Entry,
     KeyedStore,
     Listing,
+    Position,
     StoreError,
     StoreHistoryGone,
     StoreUnavailable,
@@ -18,6 +21,8 @@
     TopicConsumer,
 )
 
+from .positions import at
+
 WAIT = timedelta(seconds=2)
 OPTIONS = FollowerOptions(WAIT)
 
@@ -37,9 +42,11 @@
         assert isinstance(answer, Listing)
         return answer
 
-    async def read(self, topic: Topic, start: int, wait: timedelta) -> Changes:
+    async def read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
         self._clock.advance(wait)
-        answer = self._next(f'read {start}')
+        answer = self._next(f'read {start.offset}')
         assert isinstance(answer, Changes)
         return answer
 
@@ -88,9 +95,9 @@
 
 async def test_lists_once_and_reads_from_there() -> None:
     store, consumer = await follow(
-        Listing((Entry('a', b'1'),), 5),
-        Changes((Entry('b', b'1'),), 6),
-        Changes((), 6),
+        Listing((Entry('a', b'1'),), at(5)),
+        Changes((Entry('b', b'1'),), at(6)),
+        Changes((), at(6)),
     )
     assert store.calls == ['newest', 'read 5', 'read 6', 'read 6']
     assert [kind for kind, _, _ in consumer.log] == [
@@ -101,17 +108,19 @@
 
 
 async def test_a_read_confirms_as_of_when_it_was_sent() -> None:
-    _, consumer = await follow(Listing((), 0), Changes((), 0), Changes((), 0))
+    _, consumer = await follow(
+        Listing((), at(0)), Changes((), at(0)), Changes((), at(0))
+    )
     assert [sent_at for _, _, sent_at in consumer.log] == [0, 0, 2]
 
 
 async def test_a_relayed_read_confirms_as_of_the_peer_s_call() -> None:
     settle = timedelta(seconds=1)
     relayed = Changes(
-        (Entry('a', b'1'),), 1, is_relayed=True, age=timedelta(seconds=0.5)
+        (Entry('a', b'1'),), at(1), is_relayed=True, age=timedelta(seconds=0.5)
     )
     _, consumer = await follow(
-        Listing((), 0),
+        Listing((), at(0)),
         relayed,
         relayed,
         options=FollowerOptions(timedelta(0), settle),
@@ -121,7 +130,7 @@
 
 async def test_continues_at_the_same_offset_after_a_failure() -> None:
     store, consumer = await follow(
-        Listing((), 5), StoreUnavailable('no answer'), Changes((), 5)
+        Listing((), at(5)), StoreUnavailable('no answer'), Changes((), at(5))
     )
     assert store.calls == ['newest', 'read 5', 'read 5', 'read 5']
     assert len(consumer.log) == 2
@@ -129,10 +138,10 @@
 
 async def test_the_first_read_after_a_failure_does_not_wait() -> None:
     _, consumer = await follow(
-        Listing((), 5),
+        Listing((), at(5)),
         StoreUnavailable('no answer'),
-        Changes((), 5),
-        Changes((), 5),
+        Changes((), at(5)),
+        Changes((), at(5)),
     )
     first, second, third = (sent_at for _, _, sent_at in consumer.log)
     assert second < first + 2 * WAIT.total_seconds()
@@ -140,14 +149,14 @@
 
 
 async def test_changes_that_follow_shortly_are_gathered() -> None:
-    change = Changes((Entry('a', b'1'),), 1)
+    change = Changes((Entry('a', b'1'),), at(1))
     settle = timedelta(seconds=1)
     _, consumer = await follow(
-        Listing((), 0),
+        Listing((), at(0)),
         change,
         change,
-        Changes((), 1),
-        Changes((), 1),
+        Changes((), at(1)),
+        Changes((), at(1)),
         options=FollowerOptions(timedelta(0), settle),
     )
     assert [sent_at for _, _, sent_at in consumer.log] == [0, 0, 1, 2, 2]
@@ -155,9 +164,9 @@
 
 async def test_lists_again_when_the_history_is_gone() -> None:
     store, consumer = await follow(
-        Listing((Entry('a', b'1'),), 5),
+        Listing((Entry('a', b'1'),), at(5)),
         StoreHistoryGone('gone'),
-        Listing((Entry('b', b'1'),), 9),
+        Listing((Entry('b', b'1'),), at(9)),
     )
     assert store.calls == ['newest', 'read 5', 'newest', 'read 9']
     assert consumer.log[-1][1] == ('b',)
@@ -168,7 +177,9 @@
     # the store refused.
     clock = ManualClock()
     failures = [StoreUnavailable('no answer') for _ in range(50)]
-    store = ScriptedStore(clock, Listing((), 0), Changes((), 0), *failures)
+    store = ScriptedStore(
+        clock, Listing((), at(0)), Changes((), at(0)), *failures
+    )
     follower = TopicFollower(
         store,
         Topic.CONFIGURATION,
@@ -201,3 +212,55 @@
     clock.advance(timedelta(seconds=3))
     health.record_success()
     assert health.outage_ended_at == clock.boottime()
+
+
+async def test_a_store_that_returns_from_a_copy_is_listed_again() -> None:
+    store, consumer = await follow(
+        Listing((Entry('lost', b'1'),), at(7, era=1)),
+        StoreHistoryGone('the era is 2, not 1'),
+        Listing((Entry('kept', b'1'),), at(5, era=2)),
+        Changes((Entry('new', b'1'),), at(6, era=2)),
+    )
+    assert store.calls[:4] == ['newest', 'read 7', 'newest', 'read 5']
+    assert [(kind, keys) for kind, keys, _ in consumer.log] == [
+        ('listing', ('lost',)),
+        ('listing', ('kept',)),
+        ('changes', ('new',)),
+    ]
+
+
+@pytest.mark.parametrize(
+    ('eras', 'returns'),
+    [((1, 1), 0), ((None, None), 0), ((1, 2), 1), ((None, 3), 1), ((2, 1), 1)],
+)
+async def test_each_change_of_era_is_a_return(
+    eras: tuple[int | None, int | None], returns: int
+) -> None:
+    clock = ManualClock()
+    health = StoreHealth(clock)
+    for era in eras:
+        health.record_era(era)
+    assert health.return_count == returns
+    assert (health.outage_ended_at == 0) == bool(returns)
+
+
+async def test_a_history_that_never_settles_is_listed_ever_less_often() -> None:
+    clock = ManualClock()
+    answers = [
+        answer
+        for era in range(40)
+        for answer in (Listing((), at(0, era)), StoreHistoryGone('another era'))
+    ]
+    store = ScriptedStore(clock, *answers)
+    follower = TopicFollower(
+        store,
+        Topic.UPSTREAMS,
+        RecordingConsumer(),
+        FollowerOptions(timedelta(0)),
+        StoreHealth(clock),
+        clock,
+    )
+    with suppress(asyncio.CancelledError):
+        await follower.run()
+    assert store.calls.count('newest') == 41
+    assert clock.monotonic() > 20
--- a/tests/store/test_recent_changes.py
+++ b/tests/store/test_recent_changes.py
@@ -6,18 +6,20 @@
 from bergamotshed.store.recent_changes import MAX_ENTRIES, RecentChanges
 from bergamotshed.store.types import Changes, Entry
 
+from .positions import at
+
 LONG = timedelta(seconds=20)
 
 
-def changes(start: int, end: int) -> Changes:
+def changes(start: int, end: int, era: int | None = None) -> Changes:
     entries = tuple(Entry(f'k{offset}', b'v') for offset in range(start, end))
-    return Changes(entries, end)
+    return Changes(entries, at(end, era))
 
 
 def recorded(*ranges: tuple[int, int]) -> RecentChanges:
     recent = RecentChanges()
     for start, end in ranges:
-        recent.record(start, changes(start, end), read_at=1)
+        recent.record(at(start), changes(start, end), read_at=1)
     return recent
 
 
@@ -39,15 +41,15 @@
 def test_changes_since_an_offset(
     ranges: list[tuple[int, int]], start: int, expected: list[str] | None
 ) -> None:
-    found = recorded(*ranges).since(start)
+    found = recorded(*ranges).since(at(start))
     keys = None if found is None else [entry.key for entry in found.entries]
     assert keys == expected
 
 
 def test_only_the_latest_changes_are_kept() -> None:
     recent = recorded((0, MAX_ENTRIES), (MAX_ENTRIES, MAX_ENTRIES + 3))
-    assert recent.since(2) is None
-    kept = recent.since(3)
+    assert recent.since(at(2)) is None
+    kept = recent.since(at(3))
     assert kept is not None
     assert len(kept.entries) == MAX_ENTRIES
 
@@ -55,15 +57,15 @@
 def test_nothing_is_known_while_the_store_cannot_be_read() -> None:
     recent = recorded((5, 8))
     recent.record_failure()
-    assert recent.since(5) is None
-    recent.record(8, changes(8, 8), read_at=2)
-    assert recent.since(5) is not None
+    assert recent.since(at(5)) is None
+    recent.record(at(8), changes(8, 8), read_at=2)
+    assert recent.since(at(5)) is not None
 
 
 def test_a_read_that_ends_late_does_not_lower_the_time() -> None:
     recent = RecentChanges()
-    recent.record(5, changes(5, 5), read_at=7)
-    recent.record(5, changes(5, 5), read_at=3)
+    recent.record(at(5), changes(5, 5), read_at=7)
+    recent.record(at(5), changes(5, 5), read_at=3)
     assert recent.read_at == 7
 
 
@@ -75,6 +77,16 @@
     if is_failure:
         recent.record_failure()
     else:
-        recent.record(8, changes(8, 9), read_at=2)
+        recent.record(at(8), changes(8, 9), read_at=2)
     async with asyncio.timeout(5):
         await waiting
+
+
+def test_offsets_of_another_era_are_unknown() -> None:
+    recent = RecentChanges()
+    recent.record(at(5, era=1), changes(5, 8, era=1), read_at=1)
+    recent.record(at(5, era=2), changes(5, 7, era=2), read_at=2)
+    assert recent.since(at(6, era=1)) is None
+    found = recent.since(at(5, era=2))
+    assert found is not None
+    assert found.end == at(7, era=2)
