Write a router's entry again when the store has lost it

A router wrote its entry at its start and its stop only. After a return of the store from an older copy the others and new routers did not find it any more, and one whose stop was lost came back.

Each listing tells the announcer what the store has of this router; it writes its entry again if that differs. The others stay in the roster for as long as they need to do so, and an entry from before a router's stop does not undo it.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -116,13 +116,17 @@
     meters = Meters(settings.node.name)
     metrics = GatewayMetrics(meters, RequestMetrics(meters))
     forwarding = _build_forwarding(live, clock, fleet, shutdown)
+    announcer = Announcer(
+        fleet.store, entry, clock, lambda: _spread(fleet.roster)
+    )
+    fleet.roster.watch_own(announcer.check_listed)
     gateway = Gateway(
         live=live,
         clock=clock,
         fleet=fleet,
         metrics=metrics,
         forwarding=forwarding,
-        announcer=Announcer(fleet.store, entry, clock),
+        announcer=announcer,
         edge=_build_edge(settings.addresses, forwarding, metrics),
         shutdown=shutdown,
         health=InfoServer(
@@ -166,7 +170,7 @@
     store = PlatformStore(settings.store.address, session)
     routing = CurrentRoutingTable(PlatformRoutingDataDecoder(), clock)
     registry = UpstreamRegistry(PlatformInstanceDecoder(), health, clock)
-    roster = Roster(entry)
+    roster = Roster(entry, health, clock)
     traffic = Traffic(clock)
     mesh = _build_mesh(entry, clock, traffic)
     quarantine = Quarantine(clock, MAX_CRASHES, CRASH_RETENTION)
