Judge no key or route by a version that the store lost

After a return from an older copy the version in force stayed confirmed by a store that held an older one, and a router that started then accepted keys that had been revoked.

A starting router asks some peers for their versions before it takes callers; while a peer has a newer version than the store holds, as a read after hearing of it shows, requests are refused as not run.

--- a/src/bergamotshed/forwarding/request_admission.py
+++ b/src/bergamotshed/forwarding/request_admission.py
@@ -168,6 +168,8 @@
         table = self._routing.table
         if table is None:
             return Refusal(Reason.NO_CONFIGURATION, self._retry_after)
+        if self._routing.is_outdated:
+            return self._refuse_stale()
         route = table.find(request.host, request.path)
         if route is None:
             return self._deny(Reason.UNKNOWN_ROUTE)
@@ -206,11 +208,10 @@
         return Refusal(reason)
 
     def _refuse_stale(self) -> Refusal:
-        return Refusal(
-            Reason.STALE_CONFIGURATION,
-            self._retry_after,
-            f'last confirmed {self._routing.age:.2f} s ago',
-        )
+        detail = f'last confirmed {self._routing.age:.2f} s ago'
+        if self._routing.is_outdated:
+            detail = 'another router has a version that the store lost'
+        return Refusal(Reason.STALE_CONFIGURATION, self._retry_after, detail)
 
     def _choose_service(self, route: Route) -> str:
         total_weight = sum(share.weight for share in route.services)
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -181,6 +181,7 @@
         HeartbeatBuilder(
             _admission_options(settings).max_keyed_age, routing, shutdown
         ).build,
+        routing.hear_version,
         clock,
     )
     return FleetParts(
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -109,6 +109,16 @@
             return f'configuration confirmed {age:.1f} s ago'
         return ''
 
+    async def learn_newest_version(self) -> None:
+        """Find out at the start whether the store lost a version.
+
+        A router that starts with an older version than the others would accept
+        keys that were revoked.
+        """
+        await self.fleet.heartbeats.ask_versions()
+        if self.fleet.routing.has_heard_newer:
+            await self.fleet.followers[Topic.CONFIGURATION].confirm()
+
     def entry_addresses(self) -> list[str]:
         """Return the addresses where callers may connect."""
         addresses = self.fleet.roster.entry_addresses(
--- a/src/bergamotshed/routers/gatewayheartbeats.py
+++ b/src/bergamotshed/routers/gatewayheartbeats.py
@@ -8,6 +8,8 @@
 
 __all__ = ('GatewayHeartbeats',)
 
+import asyncio
+import random
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
@@ -16,7 +18,7 @@
 from ..clock import Clock
 from ..routing.view import RouterNode
 from .mesh import PeerMesh
-from .messages import GatewayHeartbeat
+from .messages import GatewayHeartbeat, HeartbeatRequest, Message
 
 #: Time between two heartbeats in a small fleet.
 HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
@@ -27,6 +29,10 @@
 #: Intervals without a heartbeat after which a router counts as silent: one may
 #: be lost with a connection and one delayed by a busy peer.
 SILENT_AFTER_INTERVALS = 2.5
+#: Routers that a starting router asks for their version, and how long it waits
+#: for an answer; each router that was running knows the newest version.
+ASKED_PEERS = 4
+ASK_TIMEOUT = timedelta(milliseconds=150)
 
 
 class GatewayHeartbeats:
@@ -34,6 +40,7 @@
 
     :param nodes: returns the listed routers, including this one
     :param own_heartbeat: returns the heartbeat of this router
+    :param hear_version: receives the versions of others
     """
 
     def __init__(
@@ -42,10 +49,12 @@
         name: str,
         nodes: Callable[[], Sequence[RouterNode]],
         own_heartbeat: Callable[[], GatewayHeartbeat],
+        hear_version: Callable[[int], None],
         clock: Clock,
     ) -> None:
         self._mesh = mesh
         self._name = name
+        self._hear_version = hear_version
         self._nodes = nodes
         self._own_heartbeat = own_heartbeat
         self._clock = clock
@@ -53,6 +62,7 @@
         self._latest_heartbeats: dict[str, GatewayHeartbeat] = {}
         self._silent_routers: frozenset[str] = frozenset()
         mesh.on_notice(GatewayHeartbeat, self._receive)
+        mesh.on_question(HeartbeatRequest, self._answer)
 
     @property
     def latest_heartbeats(self) -> dict[str, GatewayHeartbeat]:
@@ -86,6 +96,21 @@
             )
         )
 
+    async def ask_versions(self) -> None:
+        """Ask some peers for their versions; for the start of a router."""
+        others = [
+            node
+            for node in self._nodes()
+            if node.name != self._name and not node.leaving
+        ]
+        self._mesh.set_peers(others)
+        await asyncio.gather(
+            *(
+                self._ask(node.name)
+                for node in random.sample(others, min(ASKED_PEERS, len(others)))
+            )
+        )
+
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
         await self._mesh.start()
@@ -119,6 +144,17 @@
     def _receive(self, peer: str, heartbeat: GatewayHeartbeat) -> None:
         self._received_at[peer] = self._clock.boottime()
         self._latest_heartbeats[peer] = heartbeat
+        self._hear_version(heartbeat.version)
+
+    async def _ask(self, peer: str) -> None:
+        answer = await self._mesh.ask(
+            peer, HeartbeatRequest(), ASK_TIMEOUT, ASK_TIMEOUT
+        )
+        if isinstance(answer, GatewayHeartbeat):
+            self._receive(peer, answer)
+
+    async def _answer(self, _peer: str, _request: HeartbeatRequest) -> Message:
+        return self._own_heartbeat()
 
     def _update_silent(
         self, others: Sequence[RouterNode], period: timedelta
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -233,6 +233,10 @@
     chats: tuple[tuple[int, int, int, int, int], ...]
 
 
+class HeartbeatRequest(Struct, frozen=True, array_like=True, tag=27):
+    """Asks a gateway for its heartbeat at once."""
+
+
 class GatewayHeartbeat(Struct, frozen=True, array_like=True, tag=21):
     """A periodic message that a gateway is alive.
 
@@ -247,6 +251,7 @@
 Message = (
     Hello
     | GatewayHeartbeat
+    | HeartbeatRequest
     | AnswerPending
     | CancelQuestion
     | AnswerFailed
--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_store_readers.py
@@ -17,7 +17,7 @@
 from bergamotshed.gateway.parts import Gateway
 from bergamotshed.process.journal import Journal
 from bergamotshed.routing.store_readers import find_reader
-from bergamotshed.store.types import Changes, Topic
+from bergamotshed.store.types import Changes, Position, Topic
 from tests.relay import Relay
 from tests.waiting import until
 
@@ -84,16 +84,19 @@
 async def running_pair() -> AsyncIterator[Pair]:
     async with AsyncExitStack() as stack:
         env = await stack.enter_async_context(running_gateway(fine))
-        members = {
-            name: await _start_member(stack, env, name) for name in NAMES
-        }
+        members = {name: await start_member(stack, env, name) for name in NAMES}
         (reader,) = set(NAMES) - {FOLLOWER}
         yield Pair(env, members[FOLLOWER], members[reader])
 
 
-async def _start_member(
-    stack: AsyncExitStack, env: GatewayEnvironment, name: str
+async def start_member(
+    stack: AsyncExitStack,
+    env: GatewayEnvironment,
+    name: str,
+    *,
+    until_ready: bool = True,
 ) -> Member:
+    """Start a gateway that has its own way to the store."""
     relay = Relay(env.store.address)
     await relay.start()
     stack.callback(relay.close)
@@ -106,7 +109,8 @@
     await stack.enter_async_context(serving(gateway))
     announcing = asyncio.create_task(gateway.announcer.run())
     stack.callback(announcing.cancel)
-    await until(gateway.is_ready)
+    if until_ready:
+        await until(gateway.is_ready)
     return Member(gateway, relay, _count_reads(gateway))
 
 
@@ -116,7 +120,7 @@
     read = store.read
 
     def read_and_count(
-        topic: Topic, start: int, wait: timedelta
+        topic: Topic, start: Position, wait: timedelta
     ) -> Awaitable[Changes]:
         counter[topic] += 1
         return read(topic, start, wait)  # type: ignore[no-any-return]
--- a/tests/routers/test_slothomes.py
+++ b/tests/routers/test_slothomes.py
@@ -46,6 +46,7 @@
             name,
             lambda: self.nodes,
             lambda: GatewayHeartbeat(True, 1),
+            lambda _version: None,
             clock,
         )
         self.slots = SlotHomes(
