--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,6 +18,8 @@
 
 FAULTS_PER_SECOND = 0.8
 MAX_DURATION_S = 3.0
+MAX_COPY_AGE_S = 0.8
+MAX_REWRITE_S = 1.0
 
 
 class Fault(ABC):
@@ -102,6 +104,21 @@
             fleet.store.drop_history(topic)
 
 
+class StoreReturnsFromCopy(Fault):
+    """The store comes back older; all but the routers write again.
+
+    Soon enough that a revocation which no router knows any more stands again
+    within its bound.
+    """
+
+    async def inject(self, fleet: Fleet) -> None:
+        copy = fleet.store.copy()
+        await asyncio.sleep(self.rng.uniform(0, MAX_COPY_AGE_S))
+        fleet.store.return_from(copy)
+        await asyncio.sleep(self.rng.uniform(0, MAX_REWRITE_S))
+        fleet.write_again()
+
+
 class RefusedStoreLink(Fault):
     async def inject(self, fleet: Fleet) -> None:
         proxy = self.rng.choice(fleet.routers).store_proxy
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -136,12 +136,14 @@
         self.runs: list[EngineRun] = []
         self.revoked_at: dict[str, float] = {}
         self.store = KeyedStoreStandIn()
+        self.store.era = 1
         self.engines = [
             Engine(f'i-{number}', self.runs.append, rng)
             for number in range(engines)
         ]
         self.routers: list[RouterProcess] = []
         self.keys = ['kept', 'key-0']
+        self._written: dict[tuple[str, str], object] = {}
         self._router_count = routers
         self._directory = directory
         self._environment = GatewayEnvironment(None, self.store, [])  # type: ignore[arg-type]
@@ -165,7 +167,7 @@
         """Publish the next configuration, with the current keys."""
         self._environment.version += 1
         self._environment.keys = list(self.keys)
-        self.store.put(
+        self._put(
             CONFIGURATION,
             'config',
             configuration(self._environment, timeout_ms),
@@ -180,7 +182,16 @@
 
     def register(self, engine: Engine, state: str) -> None:
         """Write an engine's entry to the store."""
-        self.store.put(UPSTREAMS, engine.name, engine.store_entry(state))
+        self._put(UPSTREAMS, engine.name, engine.store_entry(state))
+
+    def write_again(self) -> None:
+        """Write the latest value of each key to a store that has lost it."""
+        for (topic, key), value in self._written.items():
+            self.store.put(topic, key, value)
+
+    def _put(self, topic: str, key: str, value: object) -> None:
+        self._written[topic, key] = value
+        self.store.put(topic, key, value)
 
 
 def _loopback_host(number: int) -> str:
