--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -104,6 +104,8 @@
             return 'stopping'
         if self.fleet.routing.table is None:
             return 'no configuration'
+        if self.fleet.routing.is_outdated:
+            return 'the store lost the newest configuration'
         if not self.forwarding.admission.can_admit_keyed:
             age = self.fleet.routing.age
             return f'configuration confirmed {age:.1f} s ago'
--- a/src/bergamotshed/store/follower.py
+++ b/src/bergamotshed/store/follower.py
@@ -143,7 +143,11 @@
         return self._options.settle if must_settle else NO_WAIT
 
     def _pause_before_listing(self) -> timedelta:
-        """Return the pause; it grows if no read succeeds between listings."""
+        """Return the pause; it grows while no read succeeds between listings.
+
+        A store whose answers are each of another era would otherwise be listed
+        without end.
+        """
         pause = self._relist_delay()
         if not self._has_read_since_listing:
             pause += self._backoff.next_pause()
