Follow a return of the store on all topics as soon as one shows it

A held-back read now ends when a listing of another topic shows another era, and a reader that knows of a later era says so, upon which the router reads the store without a wait.

--- a/src/bergamotshed/platform/store.py
+++ b/src/bergamotshed/platform/store.py
@@ -116,7 +116,8 @@
         answer = await self._get('/log-read', query, wait)
         if answer.era != start.era:
             raise StoreHistoryGone(
-                f'/log-read: the era is {answer.era}, not {start.era}'
+                f'/log-read: the era is {answer.era}, not {start.era}',
+                answer.era,
             )
         records = tuple(_split_records(answer.body))
         return Changes(
--- a/src/bergamotshed/routers/storemessages.py
+++ b/src/bergamotshed/routers/storemessages.py
@@ -33,12 +33,13 @@
 class ChangesAnswer(Struct, frozen=True, array_like=True, tag=26):
     """Consecutive changes of a topic.
 
-    :ivar is_known: false if the router can't tell; the other fields are unset
+    :ivar is_known: false if the router can't tell; the other fields but the era
+        are unset
     :ivar entries: key and value of each change
     :ivar end: offset after the last change
     :ivar age: milliseconds from the call of the store that confirmed these
         changes until the question arrived; negative if the call came later
-    :ivar era: era of the offset
+    :ivar era: era of the offset; the router's own where that is not known
     """
 
     is_known: bool
--- a/src/bergamotshed/routers/storerelay.py
+++ b/src/bergamotshed/routers/storerelay.py
@@ -29,6 +29,7 @@
     Listing,
     Position,
     StoreError,
+    StoreHistoryGone,
     Topic,
 )
 from .mesh import PeerMesh
@@ -98,6 +99,12 @@
         recent = self._recent[topic]
         try:
             changes = await self._read(topic, start, wait)
+        except StoreHistoryGone as error:
+            if error.era is None:
+                recent.record_failure()
+            else:
+                recent.record_return(error.era)
+            raise
         except StoreError:
             recent.record_failure()
             raise
@@ -127,6 +134,8 @@
         if not isinstance(answer, ChangesAnswer):
             self._record_silent(reader, topic)
             return await self._store.read(topic, start, timedelta(0))
+        if _is_later(answer.era, start.era):
+            return await self._store.read(topic, start, timedelta(0))
         if not answer.is_known or answer.era != start.era:
             return await self._store.read(topic, start, wait)
         return Changes(
@@ -159,11 +168,11 @@
             await recent.wait(request.wait * MILLISECOND)
             changes = recent.since(start)
         if changes is None or _size(changes) > MAX_RELAYED_BYTES:
-            return ChangesAnswer(is_known=False)
+            return ChangesAnswer(is_known=False, era=recent.era)
         age_s = arrived_at - recent.read_at
         age_ms = math.ceil(age_s * MILLISECONDS_PER_SECOND)
         if age_ms > request.max_age:
-            return ChangesAnswer(is_known=False)
+            return ChangesAnswer(is_known=False, era=recent.era)
         return ChangesAnswer(
             is_known=True,
             entries=tuple(
@@ -175,5 +184,9 @@
         )
 
 
+def _is_later(era: int | None, known: int | None) -> bool:
+    return era is not None and known is not None and era > known
+
+
 def _size(changes: Changes) -> int:
     return sum(len(entry.value) for entry in changes.entries)
--- a/src/bergamotshed/store/follower.py
+++ b/src/bergamotshed/store/follower.py
@@ -20,6 +20,7 @@
 from ..clock import Clock
 from .health import StoreHealth
 from .types import (
+    Changes,
     KeyedStore,
     Position,
     StoreError,
@@ -181,7 +182,7 @@
         # The first read after a failure doesn't wait for changes, so that the
         # return of the store is noticed at once.
         wait = self._options.wait if self._is_reachable else NO_WAIT
-        changes = await self._store.read(self._topic, self._next, wait)
+        changes = await self._read_unless_era_changes(self._next, wait)
         self._health.record_success()
         self._consumer.apply_changes(
             changes.entries, sent_at - changes.age.total_seconds()
@@ -191,6 +192,30 @@
         # A peer that reads for this router gathers changes itself.
         return bool(changes.entries) and not changes.is_relayed
 
+    async def _read_unless_era_changes(
+        self, start: Position, wait: timedelta
+    ) -> Changes:
+        """Read, but end a held-back read when another topic shows a new era.
+
+        :raises StoreHistoryGone: the era changed
+        """
+        reading = asyncio.ensure_future(
+            self._store.read(self._topic, start, wait)
+        )
+        watching = asyncio.ensure_future(
+            self._health.wait_for_other_era(start.era)
+        )
+        try:
+            await asyncio.wait(
+                (reading, watching), return_when=asyncio.FIRST_COMPLETED
+            )
+            if reading.done():
+                return reading.result()
+        finally:
+            reading.cancel()
+            watching.cancel()
+        raise StoreHistoryGone('another topic is of another era')
+
     def _move_to(self, position: Position) -> None:
         self._next = position
         self._last_known = position
--- a/src/bergamotshed/store/health.py
+++ b/src/bergamotshed/store/health.py
@@ -7,6 +7,7 @@
 
 __all__ = ('RETURN_WINDOW', 'StoreHealth')
 
+import asyncio
 import math
 from collections import Counter
 from collections.abc import Mapping
@@ -33,6 +34,7 @@
         self._is_failing = False
         self._returned_at = -math.inf
         self._era: int | None = None
+        self._era_changed = asyncio.Event()
         self._has_listed = False
         self._return_count = 0
         self._calls = Counter({'answered': 0, 'failed': 0})
@@ -56,11 +58,19 @@
 
     def record_era(self, era: int | None) -> None:
         """Record the era of a listing."""
-        if self._has_listed and era != self._era:
-            self._return_count += 1
-            self._returned_at = self._clock.boottime()
+        is_return = self._has_listed and era != self._era
         self._era = era
         self._has_listed = True
+        if is_return:
+            self._return_count += 1
+            self._returned_at = self._clock.boottime()
+            self._era_changed.set()
+            self._era_changed = asyncio.Event()
+
+    async def wait_for_other_era(self, era: int | None) -> None:
+        """Wait until a listing of any topic is of another era."""
+        while self._era == era:
+            await self._era_changed.wait()
 
     def record_failure(self) -> None:
         """Record a call without a usable answer."""
--- a/src/bergamotshed/store/recent_changes.py
+++ b/src/bergamotshed/store/recent_changes.py
@@ -32,6 +32,11 @@
         self._is_current = False
         self._waiters: set[asyncio.Future[None]] = set()
 
+    @property
+    def era(self) -> int | None:
+        """Return the era of the latest changes, or that is known to follow."""
+        return self._end.era
+
     def record(self, start: Position, changes: Changes, read_at: float) -> None:
         """Record a read that began at a position."""
         if start != self._end:
@@ -49,6 +54,12 @@
         self._is_current = False
         self._wake()
 
+    def record_return(self, era: int) -> None:
+        """Record that the store came back from an older copy."""
+        self._entries.clear()
+        self._end = Position(era, 0)
+        self.record_failure()
+
     def since(self, start: Position) -> Changes | None:
         """Return the changes from a position on; ``None`` if unknown."""
         end = self._end
--- a/src/bergamotshed/store/types.py
+++ b/src/bergamotshed/store/types.py
@@ -36,7 +36,14 @@
 
 
 class StoreHistoryGone(StoreError):
-    """The requested changes can't be read any more; list the topic again."""
+    """The requested changes can't be read any more; list the topic again.
+
+    :ivar era: the store's present era, if that is the reason
+    """
+
+    def __init__(self, detail: str, era: int | None = None) -> None:
+        super().__init__(detail)
+        self.era = era
 
 
 class Topic(Enum):
