--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -20,6 +20,7 @@
     Topic,
     TopicConsumer,
 )
+from tests.waiting import until
 
 from .positions import at
 
@@ -264,3 +265,31 @@
         await follower.run()
     assert store.calls.count('newest') == 41
     assert clock.monotonic() > 20
+
+
+class HoldingStore(ScriptedStore):
+    """Holds every read back for good."""
+
+    async def read(
+        self, topic: Topic, start: Position, wait: timedelta
+    ) -> Changes:
+        self.calls.append(f'read {start.offset}')
+        await asyncio.get_running_loop().create_future()
+        raise AssertionError
+
+
+async def test_a_read_that_is_held_back_ends_with_the_era() -> None:
+    clock = ManualClock()
+    health = StoreHealth(clock)
+    store = HoldingStore(
+        clock, Listing((), at(7, era=1)), Listing((), at(5, era=2))
+    )
+    follower = TopicFollower(
+        store, Topic.UPSTREAMS, RecordingConsumer(), OPTIONS, health, clock
+    )
+    running = asyncio.create_task(follower.run())
+    await until(lambda: store.calls == ['newest', 'read 7'])
+    # The listing of another topic.
+    health.record_era(2)
+    await until(lambda: store.calls == ['newest', 'read 7', 'newest', 'read 5'])
+    running.cancel()
--- a/tests/store/test_recent_changes.py
+++ b/tests/store/test_recent_changes.py
@@ -90,3 +90,12 @@
     found = recent.since(at(5, era=2))
     assert found is not None
     assert found.end == at(7, era=2)
+
+
+def test_a_return_is_known_before_the_first_read_of_the_new_era() -> None:
+    recent = RecentChanges()
+    recent.record(at(5, era=1), changes(5, 8, era=1), read_at=1)
+    recent.record_return(2)
+    assert recent.era == 2
+    assert recent.since(at(5, era=1)) is None
+    assert recent.since(at(0, era=2)) is None
