Spread the calls after a return by the store's rates in the settings

The pause was a constant for each router that suited the rates of two deployments. It now follows from the rates that the platform states in the settings: half of them is left to other calls.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -10,7 +10,6 @@
 
 import math
 import random
-from collections.abc import Callable
 from datetime import timedelta
 
 from aiohttp import ClientSession
@@ -59,6 +58,7 @@
 from .inspection import health_report, register_inspection
 from .live_settings import LiveSettings
 from .parts import FleetParts, Gateway, GatewayMetrics
+from .return_spread import ReturnSpread
 from .settings import AddressSettings, GatewaySettings
 
 #: Part of the time after which a revoked key must not run that is reserved
@@ -90,10 +90,6 @@
 ROUTERS_BATCH_PAUSE = timedelta(seconds=1)
 
 MILLISECOND = timedelta(milliseconds=1)
-#: Time over which the routers spread their calls when all learn at once that
-#: the store came back from an older copy: three listings of one or two pages
-#: and a write for each router stay below the store's rates.
-SPREAD_PER_ROUTER = timedelta(milliseconds=4)
 
 
 def build_gateway(
@@ -117,7 +113,10 @@
     metrics = GatewayMetrics(meters, RequestMetrics(meters))
     forwarding = _build_forwarding(live, clock, fleet, shutdown)
     announcer = Announcer(
-        fleet.store, entry, clock, lambda: _spread(fleet.roster)
+        fleet.store,
+        entry,
+        clock,
+        ReturnSpread(settings.store, fleet.roster.count).draw,
     )
     fleet.roster.watch_own(announcer.check_listed)
     gateway = Gateway(
@@ -207,16 +206,11 @@
             ),
             health,
             clock,
-            lambda: _spread(roster),
+            ReturnSpread(settings.store, roster.count),
         ),
     )
 
 
-def _spread(roster: Roster) -> timedelta:
-    """Draw a pause before a call that all routers are about to make."""
-    return random.random() * roster.count() * SPREAD_PER_ROUTER
-
-
 def _live_in_domain(
     own: RosterEntry, roster: Roster, heartbeats: GatewayHeartbeats
 ) -> list[str]:
@@ -232,11 +226,11 @@
     store: KeyedStore,
     health: StoreHealth,
     clock: Clock,
-    relist_delay: Callable[[], timedelta],
+    spread: ReturnSpread,
 ) -> dict[Topic, TopicFollower]:
     return {
         topic: TopicFollower(
-            store, topic, consumer, options, health, clock, relist_delay
+            store, topic, consumer, options, health, clock, spread.draw
         )
         for topic, (consumer, options) in consumers.items()
     }
--- a/src/bergamotshed/gateway/settings.py
+++ b/src/bergamotshed/gateway/settings.py
@@ -26,8 +26,11 @@
 MAX_SECONDS = 86_400
 MAX_RETRIES = 1_000_000
 
+MAX_CALLS_PER_SECOND = 1_000_000
+
 MILLISECONDS = Number(1, MAX_MILLISECONDS)
 SECONDS = Number(0.1, MAX_SECONDS)
+CALLS_PER_SECOND = Number(1, MAX_CALLS_PER_SECOND)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +68,8 @@
 class StoreSettings:
     """The platform's store.
 
+    :ivar reads_per_s: reads that it answers for all routers together
+    :ivar writes_per_s: the same for writes
     :ivar configuration_wait_ms: how long a read of the configuration may
         block until a change; the configuration is confirmed this often
     :ivar upstreams_wait_ms: the same for the list of upstreams
@@ -72,6 +77,8 @@
     """
 
     address: str = option(Address())
+    reads_per_s: float = option(CALLS_PER_SECOND, default=2000)
+    writes_per_s: float = option(CALLS_PER_SECOND, default=500)
     configuration_wait_ms: float = option(MILLISECONDS, default=1000)
     upstreams_wait_ms: float = option(MILLISECONDS, default=2500)
     routers_wait_ms: float = option(MILLISECONDS, default=3000)
