--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,10 +25,21 @@
     parser.add_argument(
         '--logs', default='', help='directory in which to keep the logs'
     )
+    parser.add_argument(
+        '--also',
+        action='append',
+        default=[],
+        metavar='FAULT',
+        help='a fault that each seed has in addition; may be repeated',
+    )
     options = parser.parse_args()
     # An interrupt unwinds the run, which ends the processes that it started.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    size = SoakSize(duration_s=options.duration, routers=options.routers)
+    size = SoakSize(
+        duration_s=options.duration,
+        routers=options.routers,
+        also=tuple(options.also),
+    )
     failed_seeds = 0
     for seed in range(options.first, options.first + options.seeds):
         with tempfile.TemporaryDirectory() as temporary_directory:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 import signal
 import time
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from typing import ClassVar
 
 from .fleet import Fleet
@@ -210,14 +211,19 @@
             await asyncio.sleep(0.05)
 
 
-def draw_faults(rng: random.Random, load_s: float) -> list[Fault]:
+def draw_faults(
+    rng: random.Random, load_s: float, also: Sequence[str] = ()
+) -> list[Fault]:
     """Draw faults in order of time; some overlap or start together.
 
     :param load_s: duration of the load in seconds
+    :param also: names of fault types of which one more each is drawn
     """
     fault_types = Fault.__subclasses__()
+    by_name = {fault_type.__name__: fault_type for fault_type in fault_types}
     count = max(3, round(FAULTS_PER_SECOND * load_s))
     faults = [rng.choice(fault_types)(rng, load_s) for _ in range(count)]
-    for fault in rng.sample(faults, count // 3):
+    faults += [by_name[name](rng, load_s) for name in also]
+    for fault in rng.sample(faults, len(faults) // 3):
         fault.start_s = rng.choice(faults).start_s
     return sorted(faults, key=lambda fault: fault.start_s)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -37,12 +37,16 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakSize:
-    """Duration of the load, and number of each kind of participant."""
+    """Duration of the load, and number of each kind of participant.
+
+    :ivar also: names of faults that each seed has in addition
+    """
 
     duration_s: float = 8.0
     routers: int = 3
     engines: int = 4
     callers: int = 12
+    also: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +92,7 @@
 async def run_seed(seed: int, directory: Path, size: SoakSize) -> SeedResult:
     """Run one seed and check the promises."""
     rng = random.Random(seed)
-    faults = draw_faults(rng, size.duration_s)
+    faults = draw_faults(rng, size.duration_s, size.also)
     calls: list[CallRecord] = []
     async with AsyncExitStack() as stack:
         fleet = Fleet(directory, rng, size.routers, size.engines)
