Log the parts of a prompt whose answer broke, and crashes learned from peers

A broken attempt now lists the parts of its prompt, and the first report of each crash that comes from a peer is one line (crash.learned).

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -293,5 +293,13 @@
             body_end='' if metadata is None else metadata.delimitation.value,
             last_event=splitter.last_id,
             open_event_bytes=len(splitter.rest),
+            prompt_parts=_logged_parts(self._request, result),
             ms=round(duration_s * 1000),
         )
+
+
+def _logged_parts(request: RoutedRequest, result: AttemptResult) -> list[str]:
+    """Return the parts of the prompt if the upstream may have crashed."""
+    if result.outcome is not AttemptOutcome.BROKEN:
+        return []
+    return [part.name for part in request.prompt_parts]
--- a/src/bergamotshed/routers/crashes.py
+++ b/src/bergamotshed/routers/crashes.py
@@ -9,8 +9,11 @@
 __all__ = ('CrashExchange',)
 
 import asyncio
+from collections.abc import Iterable
 from datetime import timedelta
 
+from eliot import log_message
+
 from ..clock import Clock
 from ..routing.quarantine import Crash, CrashReport, Quarantine
 from ..routing.view import RouterView
@@ -67,7 +70,7 @@
                 )
                 if isinstance(answer, CrashNotices):
                     answered_peers.add(peer)
-                    self._quarantine.merge(map(_report_of, answer.notices))
+                    self._merge(peer, answer.notices)
             await self._clock.sleep(PULL_INTERVAL)
         await asyncio.Event().wait()
 
@@ -93,9 +96,27 @@
             await self._clock.sleep(NOTICE_TIMEOUT)
 
     async def _receive_notice(self, peer: str, notice: CrashNotice) -> Message:
-        self._quarantine.merge((_report_of(notice),))
+        self._merge(peer, (notice,))
         return CrashNotices()
 
+    def _merge(self, peer: str, notices: Iterable[CrashNotice]) -> None:
+        reports = tuple(map(_report_of, notices))
+        for report in reports:
+            if not report.pending:
+                self._log_if_new(peer, report)
+        self._quarantine.merge(reports)
+
+    def _log_if_new(self, peer: str, report: CrashReport) -> None:
+        if self._quarantine.is_crash_known(report.crash):
+            return
+        log_message(
+            'crash.learned',
+            peer=peer,
+            upstream=report.crash.upstream,
+            boot=report.crash.boot,
+            age_ms=report.age // MILLISECOND,
+        )
+
     async def _answer_request(
         self, peer: str, request: CrashNoticesRequest
     ) -> Message:
