Test parts of requests that crash upstreams: they are never stopped

Sound requests that share the other parts are sent beside them and must be answered.

The engine stand-in crashes on a word in any message; the second gateway of test_store_readers.py moved to members.py, unchanged.

--- a/tests/dispatch/test_poison.py
+++ b/tests/dispatch/test_poison.py
@@ -12,6 +12,8 @@
 )
 POISON = 'now poison'
 INNOCENT = 'innocent {} tokens=60'
+#: Stated by the users: crashes after which a shared part must be known.
+MAX_CRASHES_BY_PART = 5
 
 
 def crashes(bench: Bench) -> int:
@@ -104,3 +106,31 @@
         await send_chat(bench.session, bench.url, POISON)
         crashed = {report.crash for report in bench.quarantine.export()}
         assert crashed == {Crash('e0', first), Crash('e0', second)}
+
+
+def chat_with(*earlier: str, last: str) -> list[dict[str, str]]:
+    return [
+        *({'role': 'system', 'content': text} for text in earlier),
+        {'role': 'user', 'content': last},
+    ]
+
+
+async def test_a_message_that_crashes_engines_in_any_chat_is_quarantined() -> (
+    None
+):
+    async with open_bench(THREE_ENGINES, real_placer=True) as bench:
+        for place in range(8):
+            chat = chat_with('shared', 'venom', last=f'question {place}')
+            poisoned = await send_chat(
+                bench.session, bench.url, '', messages=chat
+            )
+            sound = chat_with('shared', last=f'question {place}')
+            answer = await send_chat(
+                bench.session, bench.url, '', messages=sound
+            )
+            assert answer.error is None
+            assert answer.text == answer_text(sound)
+        assert poisoned.error is not None
+        assert poisoned.error['reason'] == 'quarantined'
+        assert crashes(bench) <= MAX_CRASHES_BY_PART
+        assert_answered(await send_innocents(bench, 6))
--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_store_readers.py
@@ -2,36 +2,23 @@
 
 import asyncio
 import time
-from collections import Counter
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
-from datetime import timedelta
-from typing import Any
 
-from aiohttp import ClientSession
-
-from bergamotshed.clock import SystemClock
-from bergamotshed.gateway.composition import build_gateway
-from bergamotshed.gateway.live_settings import LiveSettings
-from bergamotshed.gateway.parts import Gateway
-from bergamotshed.process.journal import Journal
 from bergamotshed.routing.store_readers import find_reader
-from bergamotshed.store.types import Changes, Position, Topic
-from tests.relay import Relay
+from bergamotshed.store.types import Topic
 from tests.waiting import until
 
+from .members import REVOKE_MS, Member, start_member
 from .scripts import fine
 from .support import (
     GatewayEnvironment,
-    make_settings,
     running_gateway,
     send_request,
-    serving,
 )
 
 NAMES = ('gw-1', 'gw-2')
-REVOKE_MS = 2500.0
 CONFIGURATION_WAIT_S = 0.2
 FOLLOWER = next(
     name
@@ -40,22 +27,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
-    """A gateway and its own way to the store.
-
-    :ivar direct_reads: reads that it sent to the store itself
-    """
-
-    gateway: Gateway
-    way_to_store: Relay
-    direct_reads: Counter[Topic]
-
-    @property
-    def port(self) -> int:
-        return int(self.gateway.settings.addresses.callers.split(':')[1])
-
-
 @dataclass(frozen=True, slots=True)
 class Pair:
     """The environment holds the store and the upstreams of both."""
@@ -89,46 +60,6 @@
         yield Pair(env, members[FOLLOWER], members[reader])
 
 
-async def start_member(
-    stack: AsyncExitStack,
-    env: GatewayEnvironment,
-    name: str,
-    *,
-    until_ready: bool = True,
-) -> Member:
-    """Start a gateway that has its own way to the store."""
-    relay = Relay(env.store.address)
-    await relay.start()
-    stack.callback(relay.close)
-    session = await stack.enter_async_context(ClientSession())
-    clock = SystemClock()
-    settings = make_settings(relay.address, REVOKE_MS, 8, name)
-    gateway = build_gateway(
-        LiveSettings(settings, '', clock), session, clock, Journal()
-    )
-    await stack.enter_async_context(serving(gateway))
-    announcing = asyncio.create_task(gateway.announcer.run())
-    stack.callback(announcing.cancel)
-    if until_ready:
-        await until(gateway.is_ready)
-    return Member(gateway, relay, _count_reads(gateway))
-
-
-def _count_reads(gateway: Gateway) -> Counter[Topic]:
-    counter: Counter[Topic] = Counter()
-    store: Any = gateway.fleet.store
-    read = store.read
-
-    def read_and_count(
-        topic: Topic, start: Position, wait: timedelta
-    ) -> Awaitable[Changes]:
-        counter[topic] += 1
-        return read(topic, start, wait)  # type: ignore[no-any-return]
-
-    store.read = read_and_count
-    return counter
-
-
 async def test_a_change_reaches_the_follower_through_its_reader() -> None:
     async with running_pair() as pair:
         await pair.wait_until_relayed()
--- a/tests/gateway/test_store_returns.py
+++ b/tests/gateway/test_store_returns.py
@@ -9,6 +9,7 @@
 from tests.standins.rawupstream import RawUpstream
 from tests.waiting import until
 
+from .members import Member, start_member
 from .scripts import fine
 from .support import (
     UPSTREAMS,
@@ -17,7 +18,6 @@
     send_request,
     upstream_entry,
 )
-from .test_store_readers import Member, start_member
 
 ROUTERS = 'keyed.routers'
 
--- a/tests/promises/test_poison.py
+++ b/tests/promises/test_poison.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ..caller import FAILED, Reply
+from ..caller import FAILED, Reply, chat
 from ..harness import Cluster, ClusterPlan, running_cluster
 from ..waiting import until
 
@@ -21,6 +21,8 @@
 REPEAT_COUNT = 6
 MAX_REPEAT_S = 0.5
 OTHER_CHAT_COUNT = 30
+#: Stated by the users: crashes after which a shared part must be known.
+MAX_CRASHES_BY_PART = 5
 
 
 async def count_crashes(cluster: Cluster) -> int:
@@ -86,3 +88,26 @@
         assert [
             reply for reply in await other_chats if not reply.is_complete
         ] == []
+
+
+async def test_a_message_that_crashes_engines_in_any_chat_is_stopped(
+    tmp_path: Path,
+) -> None:
+    async with running_cluster(PLAN, tmp_path) as cluster:
+        await cluster.wait_agreed()
+        replies = []
+        for number in range(4 * REPEAT_COUNT):
+            address = cluster.addresses[f'router-{number % PLAN.routers + 1}']
+            chats = (
+                [{'role': 'system', 'content': text} for text in earlier]
+                + [{'role': 'user', 'content': f'question {number}'}]
+                for earlier in (('shared', 'venom'), ('shared',))
+            )
+            replies.append(
+                await asyncio.gather(
+                    *(chat(cluster.session, address, each) for each in chats)
+                )
+            )
+        assert await count_crashes(cluster) <= MAX_CRASHES_BY_PART
+        assert all(sound.is_complete for _, sound in replies)
+        assert replies[-1][0].reason == 'quarantined'
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -12,7 +12,8 @@
 - ``gap`` ``{"before": seq}`` drops the cache events before a sequence number;
 - ``lag`` ``{"seconds", "events"}`` reports load and cache events late;
 - ``obey`` and ``ignore`` make it check fencing tokens or not;
-- ``crash`` crashes it, as does the word ``poison`` in the last message.
+- ``crash`` crashes it, as does the word ``poison`` in the last message, or the
+  word ``venom`` in any message.
 """
 
 __all__ = ('EngineStandIn',)
@@ -38,6 +39,7 @@
 from .streams import DONE_EVENT, stream_events
 
 POISON_WORD = 'poison'
+POISON_PART_WORD = 'venom'
 
 
 class EngineStandIn(StandIn):
@@ -115,7 +117,7 @@
         content = await json_body(request)
         if self._is_down():
             return _drop_without_answer(request)
-        if POISON_WORD in content['messages'][-1]['content'].split():
+        if _is_poison(content['messages']):
             self._crash(content['request'])
             return _drop_without_answer(request)
         if not self._serves(content) or not self._slots.has_room():
@@ -272,6 +274,14 @@
         return web.Response(status=204)
 
 
+def _is_poison(messages: list[dict[str, str]]) -> bool:
+    """Return whether a chat crashes the engine."""
+    words = [message['content'].split() for message in messages]
+    return POISON_WORD in words[-1] or any(
+        POISON_PART_WORD in message for message in words
+    )
+
+
 def _drop_without_answer(request: web.Request) -> web.Response:
     drop_connection(request)
     return web.Response(status=503)
