Quarantine parts of requests that crash upstreams, not only whole requests

The requests that did it shared one part of their prompts and were no two alike.

Cause: the quarantine judged fingerprints of whole requests. With a new last part each request had a new fingerprint, so none was ever at a second crash.

Class of fault: a rule about identity that is finer than the cause it is to find.

Change: each request has parts (the parts of a prompt in the gateway, the messages of a chat in the router program). A crash report names the parts of the requests whose answers had not begun. An answer clears its parts of all crashes before it, and routers tell each other so, since a part that crashes upstreams is never answered. A part that was at three successive crashes without an answer in between is suspect. A request is refused for a suspect part unless another suspect, which the request lacks, was at the same crashes: a part that was merely beside the harmful one stays usable without it. Upstreams that fail together count once. One router, by rendezvous, lets a trial through after 8 s, then ever more rarely.

Two of the tests changed. test_requests_with_a_harmful_part_that_come_at_once_are_stopped counted requests where the stated bound counts crashes: three requests sent at once share a subject, so they reach one upstream and are one crash. It now asserts at most five crashes and at most three requests after the fifth wave, over eight waves in place of five. The fleets of the tests wait until their routers know each other: the first messages between them took 0.4 s, in which five crashes had happened.

--- a/src/bergamotshed/background.py
+++ b/src/bergamotshed/background.py
@@ -96,7 +96,7 @@
         watcher.run,
         engines.run,
         fleet_parts.heartbeats.run,
-        fleet_parts.crashes.run,
+        fleet_parts.crashes.exchange.run,
         core_parts.service_connections.run,
         control_parts.follower.run,
         control_parts.lease.run,
--- a/src/bergamotshed/composition.py
+++ b/src/bergamotshed/composition.py
@@ -43,7 +43,7 @@
 from .process.traffic import Traffic
 from .routers.claims import OwnerClaims
 from .routers.configuration import ConfigurationExchange
-from .routers.crashes import CrashExchange
+from .routers.crashparts import build_crash_parts
 from .routers.heartbeats import Heartbeats
 from .routers.mesh import PeerMesh
 from .routers.placer import HomePlacer
@@ -55,7 +55,7 @@
 from .routing.membership import Membership
 from .routing.quarantine import Quarantine
 from .routing.retry import RetryBudget
-from .routing.view import RouterNode
+from .routing.view import RouterNode, RouterView
 from .services.client import HttpServiceClient
 from .settings import Settings
 from .telemetry import setup_logging
@@ -141,13 +141,17 @@
         core_parts.traffic.count,
         incarnation=time.time_ns() // NANOSECONDS_PER_MICROSECOND,
     )
-    quarantine = Quarantine(clock)
+    crashes = build_crash_parts(
+        name, mesh, membership, lambda: _live_routers(membership), clock
+    )
     placer = HomePlacer(
         name,
         mesh,
         membership,
-        _build_local_placer(core_parts, membership, quarantine),
-        _build_local_placer(core_parts, membership, quarantine, FALLBACK_SHARE),
+        _build_local_placer(core_parts, membership, crashes.quarantine),
+        _build_local_placer(
+            core_parts, membership, crashes.quarantine, FALLBACK_SHARE
+        ),
         core_parts.configuration,
         clock,
     )
@@ -167,11 +171,14 @@
         placer,
         heartbeats,
         ConfigurationExchange(mesh, membership, core_parts.configuration),
-        quarantine,
-        CrashExchange(name, mesh, membership, quarantine, clock),
+        crashes,
     )
 
 
+def _live_routers(view: RouterView) -> list[str]:
+    return [node.name for node in view.routers() if not node.suspect]
+
+
 def _build_local_placer(
     core_parts: CoreParts,
     membership: Membership,
@@ -216,7 +223,7 @@
         placer,
         core_parts.engines,
         owner_claims,
-        fleet_parts.quarantine,
+        fleet_parts.crashes.quarantine,
         budget,
         clock,
         core_parts.boots,
@@ -285,7 +292,7 @@
             membership=fleet_parts.membership,
             mesh=fleet_parts.mesh,
             placer=fleet_parts.placer,
-            quarantine=fleet_parts.quarantine,
+            quarantine=fleet_parts.crashes.quarantine,
             server=request_parts.server,
             claims=request_parts.claims,
             follower=control_parts.follower,
--- a/src/bergamotshed/dispatch/attempt.py
+++ b/src/bergamotshed/dispatch/attempt.py
@@ -23,6 +23,7 @@
 )
 from ..routing.boots import BootRegistry
 from ..routing.fingerprint_locks import FingerprintLocks
+from ..routing.part_sightings import ANSWER_START
 from ..routing.quarantine import Quarantine
 from ..routing.retry import RetryBudget
 from ..routing.types import (
@@ -75,6 +76,7 @@
         self._offset = request.resume.offset if request.resume else 0
         self._started_at = dependencies.clock.monotonic()
         self._cut_at = self._started_at
+        self._first_event_at: float | None = None
         self._reattach_count = 0
         self._is_released = False
         self._may_have_been_sent = False
@@ -108,6 +110,17 @@
         """
         return self._cut_at
 
+    @property
+    def has_survived_start(self) -> bool:
+        """Return whether the engine was answering for some time when the first
+        connection was cut.
+        """
+        if self._first_event_at is None:
+            return False
+        return (
+            self._cut_at - self._first_event_at > ANSWER_START.total_seconds()
+        )
+
     @property
     def may_have_been_sent(self) -> bool:
         """Return whether any byte of the request may have been sent.
@@ -136,7 +149,7 @@
             except EngineError as error:
                 await self._reattach(error)
             else:
-                self._offset = event.offset + 1
+                self._record_event(event)
                 return event
 
     async def end(self, outcome: Outcome, cached_tokens: int = 0) -> None:
@@ -169,6 +182,11 @@
     def _address(self) -> str:
         return self._placement.upstream.address
 
+    def _record_event(self, event: Chunk | Finish) -> None:
+        self._offset = event.offset + 1
+        if self._first_event_at is None:
+            self._first_event_at = self._dependencies.clock.monotonic()
+
     async def _reattach(self, error: EngineError) -> None:
         """Request the rest of the stream from the engine, or raise.
 
--- a/src/bergamotshed/dispatch/chat_run.py
+++ b/src/bergamotshed/dispatch/chat_run.py
@@ -46,6 +46,7 @@
         self._deadline = Deadline(dependencies.clock, call.options.time_allowed)
         self._suspicion = RequestSuspicion(
             self._spec.fingerprint,
+            self._spec.parts,
             dependencies.quarantine,
             dependencies.fingerprint_locks,
             dependencies.clock,
@@ -102,6 +103,8 @@
             await self._deadline.wait(self._suspicion.acquire_if_suspect())
         except TimeoutError:
             return self._fail(self._failure(Refusal(Reason.DEADLINE)))
+        if self._attempt_count == 0:
+            self._suspicion.begin_trial_if_due()
         if self._suspicion.is_quarantined:
             return self._fail(failures.quarantine_failure())
         is_suspect = self._suspicion.is_suspect
@@ -135,6 +138,7 @@
             self._texts.append(event.text)
             return event
         self._has_ended = True
+        self._suspicion.record_answer()
         await attempt.end(Outcome.DONE, event.cached)
         self._trace.log_attempt_ended(
             attempt.number, attempt.upstream, Outcome.DONE
@@ -153,6 +157,8 @@
         )
         if outcome is Outcome.CUT:
             self._may_have_run_before = True
+            if attempt.has_survived_start:
+                self._suspicion.record_answer()
             await self._check_for_crash(attempt)
         await attempt.end(outcome)
         self._attempt = None
@@ -182,7 +188,10 @@
             await suspicion.acquire_if_free()
             if await self._deadline.wait(engine_run.has_crashed()):
                 suspicion.record_crash(
-                    crash, attempt.started_at, attempt.cut_at
+                    crash,
+                    attempt.started_at,
+                    attempt.cut_at,
+                    has_survived_start=attempt.has_survived_start,
                 )
 
     def _retry_refusal(
--- a/src/bergamotshed/dispatch/chat_spec.py
+++ b/src/bergamotshed/dispatch/chat_spec.py
@@ -12,7 +12,12 @@
 
 from ..engines.types import EngineRequest, Resume
 from ..routing.types import PlacementRequest
-from .fingerprint import chat_hash, history_tokens, request_fingerprint
+from .fingerprint import (
+    chat_hash,
+    history_tokens,
+    message_hashes,
+    request_fingerprint,
+)
 from .target import ChatTarget
 from .types import ChatCall
 
@@ -25,12 +30,18 @@
         self._target = target
         self._chat_hash = chat_hash(call.options.organisation, call.chat_id)
         self._fingerprint = request_fingerprint(call)
+        self._parts = message_hashes(call)
 
     @property
     def fingerprint(self) -> int:
         """Return a hash that is equal for repeats of the request."""
         return self._fingerprint
 
+    @property
+    def parts(self) -> tuple[int, ...]:
+        """Return hashes of the messages, which other chats may share."""
+        return self._parts
+
     @property
     def service(self) -> str:
         """Return the name of the chat's service."""
--- a/src/bergamotshed/dispatch/fingerprint.py
+++ b/src/bergamotshed/dispatch/fingerprint.py
@@ -5,12 +5,19 @@
 Stable 64-bit hashes of chats and requests, and the size of a chat's history.
 """
 
-__all__ = ('chat_hash', 'history_tokens', 'request_fingerprint')
+__all__ = (
+    'chat_hash',
+    'history_tokens',
+    'message_hashes',
+    'request_fingerprint',
+)
 
 from ..routing.hashing import stable_hash
 from .types import ChatCall
 
 CHARACTERS_PER_TOKEN = 4
+#: Bounds the size of a crash report.
+MAX_HASHED_MESSAGES = 64
 
 
 def chat_hash(organisation: str, chat: str) -> int:
@@ -26,6 +33,21 @@
     return stable_hash(*parts)
 
 
+def message_hashes(call: ChatCall) -> tuple[int, ...]:
+    """Hash each message of a chat, equal for equal messages of any caller.
+
+    Of a long chat only the first and the last messages are hashed.
+    """
+    messages = call.messages
+    if len(messages) > MAX_HASHED_MESSAGES:
+        half = MAX_HASHED_MESSAGES // 2
+        messages = (*messages[:half], *messages[-half:])
+    return tuple(
+        stable_hash('message', call.model, message.role, message.content)
+        for message in messages
+    )
+
+
 def history_tokens(call: ChatCall) -> int:
     """Estimate the number of tokens that a warm prefix cache would save."""
     characters = sum(len(message.content) for message in call.messages[:-1])
--- a/src/bergamotshed/dispatch/request_suspicion.py
+++ b/src/bergamotshed/dispatch/request_suspicion.py
@@ -7,6 +7,7 @@
 
 __all__ = ('RequestSuspicion',)
 
+from collections.abc import Sequence
 from contextlib import AbstractContextManager
 from datetime import timedelta
 
@@ -18,17 +19,23 @@
 
 
 class RequestSuspicion:
-    """Quarantine status of one request; runs its repeats one at a time."""
+    """Quarantine status of one request; runs its repeats one at a time.
+
+    :param parts: hashes of its messages
+    """
 
     def __init__(
         self,
         fingerprint: int,
+        parts: Sequence[int],
         quarantine: Quarantine,
         locks: FingerprintLocks,
         clock: Clock,
     ) -> None:
         self._clock = clock
         self._fingerprint = fingerprint
+        self._parts = parts
+        self._is_trial = False
         self._quarantine = quarantine
         self._locks = locks
         self._has_lock = False
@@ -56,7 +63,24 @@
     @property
     def is_quarantined(self) -> bool:
         """Return whether the request must not run any more."""
-        return self._status is FingerprintStatus.QUARANTINED
+        if self._status is FingerprintStatus.QUARANTINED:
+            return True
+        parts = self._quarantine.parts
+        return parts.blames(self._parts) and not self._is_trial
+
+    def begin_trial_if_due(self) -> None:
+        """Let a request whose parts are blamed run if it is time to find out
+        whether they still crash engines.
+        """
+        parts = self._quarantine.parts
+        if parts.blames(self._parts):
+            self._is_trial = parts.admits(self._parts)
+
+    def record_answer(self) -> None:
+        """Record that an engine has begun to answer the request."""
+        self._quarantine.parts.record_answer(
+            self._parts, self._clock.monotonic()
+        )
 
     async def acquire_if_suspect(self) -> None:
         """Wait for holds to end; lock the fingerprint if it is suspect.
@@ -104,15 +128,27 @@
         )
 
     def record_crash(
-        self, crash: Crash, started_at: float, ended_at: float
+        self,
+        crash: Crash,
+        started_at: float,
+        ended_at: float,
+        *,
+        has_survived_start: bool,
     ) -> None:
         """Record that an attempt was cut by a crash.
 
         :param started_at: when it was sent, in monotonic seconds
         :param ended_at: when it was cut, in monotonic seconds
+        :param has_survived_start: the engine had been answering for some time,
+            so that it did not crash on a message
         """
+        self._is_trial = False
         self._quarantine.record_crash(
-            self._fingerprint, crash, started_at, ended_at
+            self._fingerprint,
+            crash,
+            started_at,
+            ended_at,
+            () if has_survived_start else self._parts,
         )
 
     @property
--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -23,10 +23,12 @@
 from ..routing.upstream_loads import ExchangeOutcome, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
-from ..upstreams.types import Instance, ReportedLoad
-from .crash_detector import CrashDetector, request_fingerprint
+from ..upstreams.types import Instance
+from .answer_observer import AnswerObserver
+from .crash_detector import CrashDetector
+from .crash_watch import CrashWatch
 from .dialect import Dialect
-from .exchange import AnswerRelay, Exchange, ExchangeObserver
+from .exchange import AnswerRelay, Exchange
 from .outcome import AttemptOutcome, AttemptResult, can_retry
 from .request_admission import AdmittedRequest, RequestAdmission
 from .types import AnswerSink, RequestMetadata, RoutedRequest, UpstreamAnswer
@@ -74,11 +76,11 @@
     clock: Clock
 
 
-class RequestAttempts(ExchangeObserver):
+class RequestAttempts:
     """Makes the attempts of one request and records their results.
 
     :ivar relay: passes the answer on and records what the caller received
-    :ivar fingerprint: hash that is equal for repeats of the request
+    :ivar watch: examines answers that break off for crashes
     :ivar failure: the last upstream's answer, if that was a failure; the caller
         gets it if no further attempt succeeds
     """
@@ -95,7 +97,9 @@
             sink, int(last_event_id) if last_event_id.isdecimal() else None
         )
         self.failure: UpstreamAnswer | None = None
-        self.fingerprint = request_fingerprint(request)
+        self.watch = CrashWatch(
+            dependencies.crashes, request, dependencies.clock
+        )
         self._dependencies = dependencies
         self._request = request
         self._admitted = admitted
@@ -104,7 +108,9 @@
             self.relay,
             dependencies.dialect,
             dependencies.pool,
-            self,
+            AnswerObserver(
+                request, dependencies.loads, dependencies.prompts, self.watch
+            ),
         )
         self._tried: set[str] = set()
         self._attempt_count = 0
@@ -155,6 +161,7 @@
         dependencies = self._dependencies
         instance = placed.instance
         started_at = dependencies.clock.monotonic()
+        self.watch.start()
         self._tried.add(instance.name)
         dependencies.loads.record_start(instance)
         exchange_outcome = ExchangeOutcome.ABANDONED
@@ -203,19 +210,6 @@
             return False
         return self._dependencies.retries.spend(self._admitted.service)
 
-    def record_load(self, instance: Instance, load: ReportedLoad) -> None:
-        """Record the load that an upstream reported."""
-        self._dependencies.loads.record_report(instance, load)
-
-    def record_start(self, instance: Instance) -> None:
-        """Record that the upstream has read the prompt.
-
-        This is not left to the end of the answer, which may take seconds.
-        """
-        self._dependencies.prompts.record_read(
-            self._request.shared_parts, instance.incarnation
-        )
-
     @property
     def _is_run_once(self) -> bool:
         return self._admitted.route.repeatability is Repeatability.ONCE
@@ -249,11 +243,9 @@
         if isinstance(result.answer, UpstreamAnswer):
             self.failure = result.answer
         if result.outcome is AttemptOutcome.ANSWERED:
-            dependencies.crashes.record_success(self.fingerprint)
+            self.watch.record_answer(is_success=result.is_success)
         elif result.outcome is AttemptOutcome.BROKEN:
-            dependencies.crashes.investigate_cut(
-                self.fingerprint, instance, started_at
-            )
+            self.watch.record_cut(instance, started_at)
         elif result.outcome is AttemptOutcome.MISDIRECTED:
             dependencies.registry.mark_misdirected(instance)
 
--- a/src/bergamotshed/forwarding/crash_detector.py
+++ b/src/bergamotshed/forwarding/crash_detector.py
@@ -6,7 +6,7 @@
 that crash upstreams from being sent again.
 """
 
-__all__ = ('CrashDetector', 'request_fingerprint')
+__all__ = ('CrashDetector', 'RequestTraits', 'request_traits')
 
 import asyncio
 from collections import OrderedDict
@@ -42,6 +42,18 @@
     is_alive: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """What a request has in common with others that crash upstreams.
+
+    :ivar fingerprint: hash that is equal for repeats of a request with one key
+    :ivar parts: hashes of the parts of its prompt, each equal for equal parts
+    """
+
+    fingerprint: int
+    parts: tuple[int, ...]
+
+
 class CrashDetector:
     """Distinguishes crashes from lost answers by a connection attempt."""
 
@@ -55,42 +67,50 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._successes: OrderedDict[int, None] = OrderedDict()
 
-    def is_harmful(self, fingerprint: int) -> bool:
-        """Return whether a request has crashed too many upstreams.
+    def admits(self, traits: RequestTraits) -> bool:
+        """Return whether a request may be sent to an upstream.
 
-        A request that succeeded since is not harmful: it only ran beside one
-        that is.
+        A request that was answered since its crashes only ran beside one that
+        causes them.
         """
-        if fingerprint in self._successes:
+        status = self._quarantine.status(traits.fingerprint)
+        is_harmful = status is FingerprintStatus.QUARANTINED
+        if is_harmful and traits.fingerprint not in self._successes:
             return False
-        status = self._quarantine.status(fingerprint)
-        return status is FingerprintStatus.QUARANTINED
+        return self._quarantine.parts.admits(traits.parts)
 
-    def record_success(self, fingerprint: int) -> None:
-        """Record that a suspect or quarantined request was answered."""
-        if self._quarantine.status(fingerprint) is FingerprintStatus.CLEAR:
+    def record_answer(self, traits: RequestTraits) -> None:
+        """Record that a request was answered, even if by an error."""
+        status = self._quarantine.status(traits.fingerprint)
+        if status is FingerprintStatus.CLEAR:
             return
-        self._successes[fingerprint] = None
+        self._successes[traits.fingerprint] = None
         if len(self._successes) > MAX_REMEMBERED:
             self._successes.popitem(last=False)
 
+    def record_begun(self, traits: RequestTraits) -> None:
+        """Record that an upstream has begun to answer a request."""
+        now = self._clock.monotonic()
+        self._quarantine.parts.record_answer(traits.parts, now)
+
     def investigate_cut(
-        self, fingerprint: int, instance: Instance, started_at: float
+        self, traits: RequestTraits, instance: Instance, started_at: float
     ) -> None:
         """Check in the background whether a cut answer was due to a crash.
 
+        :param traits: without the parts if the answer had begun
         :param started_at: when the request was sent, in monotonic seconds
         """
         ended_at = self._clock.monotonic()
         task = asyncio.ensure_future(
-            self._investigate(fingerprint, instance, started_at, ended_at)
+            self._investigate(traits, instance, started_at, ended_at)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _investigate(
         self,
-        fingerprint: int,
+        traits: RequestTraits,
         instance: Instance,
         started_at: float,
         ended_at: float,
@@ -99,14 +119,16 @@
             return
         crash = Crash(instance.name, str(instance.born))
         status = self._quarantine.record_crash(
-            fingerprint, crash, started_at, ended_at
+            traits.fingerprint, crash, started_at, ended_at, traits.parts
         )
         log_message(
             'upstream.crashed',
             upstream=instance.name,
             born=instance.born,
-            fingerprint=fingerprint,
+            fingerprint=traits.fingerprint,
             standing=status.value,
+            parts=traits.parts,
+            suspect_parts=sorted(self._quarantine.parts.suspects),
         )
 
     async def _is_alive(self, instance: Instance) -> bool:
@@ -126,9 +148,9 @@
         return is_alive
 
 
-def request_fingerprint(request: RoutedRequest) -> int:
-    """Return a hash that is equal for repeats of a request with one key."""
-    return stable_hash(
+def request_traits(request: RoutedRequest) -> RequestTraits:
+    """Return the traits of a request."""
+    fingerprint = stable_hash(
         'routed',
         request.api_key or '',
         request.host,
@@ -136,3 +158,7 @@
         request.target,
         request.body.decode('latin-1'),
     )
+    return RequestTraits(
+        fingerprint,
+        tuple(stable_hash('part', part.name) for part in request.prompt_parts),
+    )
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -80,7 +80,7 @@
 
 
 class ExchangeObserver(ABC):
-    """Is notified while an answer arrives; override both methods."""
+    """Is notified while an answer arrives; override all methods."""
 
     @abstractmethod
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
@@ -90,6 +90,10 @@
     def record_start(self, instance: Instance) -> None:
         """Record that an upstream has read the prompt and started to answer."""
 
+    @abstractmethod
+    def record_event(self) -> None:
+        """Record that whole events of the answer have arrived."""
+
 
 class Exchange:
     """Runs the HTTP exchanges of one request, one after the other.
@@ -225,6 +229,7 @@
         while piece := await connection.read_part():
             events = relay.splitter.feed(piece)
             if events:
+                self._observer.record_event()
                 await relay.send(metadata, events)
         if self._lacks_events(metadata):
             return self._broken_result(
--- a/src/bergamotshed/forwarding/outcome.py
+++ b/src/bergamotshed/forwarding/outcome.py
@@ -13,6 +13,8 @@
 from ..routes.types import Repeatability
 from .types import StreamedAnswer, UpstreamAnswer
 
+HTTP_MULTIPLE_CHOICES = 300
+
 
 class AttemptOutcome(Enum):
     """The ways in which an attempt ends.
@@ -63,6 +65,15 @@
     answer: UpstreamAnswer | StreamedAnswer | None = None
     is_answer_started: bool = False
 
+    @property
+    def is_success(self) -> bool:
+        """Return whether the upstream answered what was asked for."""
+        if self.outcome is not AttemptOutcome.ANSWERED:
+            return False
+        if isinstance(self.answer, UpstreamAnswer):
+            return self.answer.status < HTTP_MULTIPLE_CHOICES
+        return True
+
     @property
     def did_not_run(self) -> bool:
         """Return whether the upstream certainly ran nothing."""
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -33,7 +33,7 @@
         self, attempts: RequestAttempts
     ) -> PlacedUpstream | Refusal:
         """Choose an upstream; call :meth:`release_slot` after the attempt."""
-        if self._dependencies.crashes.is_harmful(attempts.fingerprint):
+        if not attempts.watch.admits():
             return Refusal(Reason.QUARANTINED, QUARANTINE_RETRY_AFTER)
         query = attempts.query
         if query.shared_parts:
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -34,7 +34,7 @@
 from ..roster.announcer import Announcer
 from ..roster.roster import Roster
 from ..roster.types import RosterEntry
-from ..routers.crashes import CrashExchange
+from ..routers.crashparts import build_crash_parts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
 from ..routers.mesh import PeerMesh
 from ..routers.prompthomes import PromptHomes
@@ -47,7 +47,6 @@
     FleetRetryBudget,
     FleetRetryBudgetOptions,
 )
-from ..routing.quarantine import Quarantine
 from ..routing.upstream_loads import UpstreamLoads
 from ..store.follower import FollowerOptions, TopicFollower
 from ..store.health import StoreHealth
@@ -150,7 +149,7 @@
         tasks=[
             *(follower.run for follower in fleet.followers.values()),
             fleet.heartbeats.run,
-            fleet.crashes.run,
+            fleet.crashes.exchange.run,
             live.run,
         ],
     )
@@ -172,7 +171,6 @@
     roster = Roster(entry, health, clock)
     traffic = Traffic(clock)
     mesh = _build_mesh(entry, clock, traffic)
-    quarantine = Quarantine(clock, MAX_CRASHES, CRASH_RETENTION)
     heartbeats = GatewayHeartbeats(
         mesh,
         entry.name,
@@ -190,8 +188,15 @@
         routing=routing,
         registry=registry,
         roster=roster,
-        quarantine=quarantine,
-        crashes=CrashExchange(entry.name, mesh, roster, quarantine, clock),
+        crashes=build_crash_parts(
+            entry.name,
+            mesh,
+            roster,
+            heartbeats.live_routers,
+            clock,
+            MAX_CRASHES,
+            CRASH_RETENTION,
+        ),
         heartbeats=heartbeats,
         prompts=PromptHomes(entry.name, mesh, heartbeats.live_routers, clock),
         slots=SlotHomes(entry.name, mesh, heartbeats, registry, clock),
@@ -321,7 +326,7 @@
             fleet.heartbeats.has_ready_peer,
             rng.random,
         ),
-        crashes=CrashDetector(fleet.quarantine, pool, clock),
+        crashes=CrashDetector(fleet.crashes.quarantine, pool, clock),
         registry=fleet.registry,
         placer=AffinityPlacer(
             fleet.registry,
--- a/src/bergamotshed/gateway/inspection.py
+++ b/src/bergamotshed/gateway/inspection.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ..operators.server import HealthReport
+from ..operators.server import HealthReport, Provider
 from ..process.metrics import Sample
 from ..upstreams.types import Instance
 from .parts import Gateway
@@ -72,16 +72,19 @@
 
 def register_inspection(gateway: Gateway) -> None:
     """Register the state dump and the metrics of a gateway."""
-    operators = gateway.operators
-    operators.register('configuration', lambda: _configuration_state(gateway))
-    operators.register('upstreams', lambda: list(_upstream_snapshots(gateway)))
-    operators.register('routers', lambda: gateway.fleet.roster.entries)
-    operators.register(
-        'beats', lambda: gateway.fleet.heartbeats.latest_heartbeats
-    )
-    operators.register('slots', lambda: _slot_states(gateway))
-    operators.register('prompts', lambda: _prompt_counts(gateway))
-    operators.register('requests', lambda: _request_state(gateway))
+    fleet = gateway.fleet
+    providers: dict[str, Provider] = {
+        'configuration': lambda: _configuration_state(gateway),
+        'upstreams': lambda: list(_upstream_snapshots(gateway)),
+        'routers': lambda: fleet.roster.entries,
+        'beats': lambda: fleet.heartbeats.latest_heartbeats,
+        'slots': lambda: _slot_states(gateway),
+        'prompts': lambda: _prompt_counts(gateway),
+        'requests': lambda: _request_state(gateway),
+        'quarantine': fleet.crashes.quarantine.export,
+    }
+    for name, provider in providers.items():
+        gateway.operators.register(name, provider)
     _declare_metrics(gateway)
 
 
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -21,12 +21,11 @@
 from ..process.traffic import Traffic
 from ..roster.announcer import Announcer
 from ..roster.roster import Roster
-from ..routers.crashes import CrashExchange
+from ..routers.crashparts import CrashParts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
 from ..routers.prompthomes import PromptHomes
 from ..routers.slothomes import SlotHomes
 from ..routes.current_table import CurrentRoutingTable
-from ..routing.quarantine import Quarantine
 from ..store.follower import TopicFollower
 from ..store.health import StoreHealth
 from ..store.types import KeyedStore, Topic
@@ -48,8 +47,7 @@
     routing: CurrentRoutingTable
     registry: UpstreamRegistry
     roster: Roster
-    quarantine: Quarantine
-    crashes: CrashExchange
+    crashes: CrashParts
     heartbeats: GatewayHeartbeats
     prompts: PromptHomes
     slots: SlotHomes
--- a/src/bergamotshed/parts.py
+++ b/src/bergamotshed/parts.py
@@ -37,13 +37,12 @@
 from .process.drain import Drain
 from .process.traffic import Traffic
 from .routers.configuration import ConfigurationExchange
-from .routers.crashes import CrashExchange
+from .routers.crashparts import CrashParts
 from .routers.heartbeats import Heartbeats
 from .routers.mesh import PeerMesh
 from .routers.placer import HomePlacer
 from .routing.boots import BootRegistry
 from .routing.membership import Membership
-from .routing.quarantine import Quarantine
 from .settings import Settings
 from .upstreams.pool import ConnectionPool
 
@@ -84,8 +83,7 @@
     placer: HomePlacer
     heartbeats: Heartbeats
     configurations: ConfigurationExchange
-    quarantine: Quarantine
-    crashes: CrashExchange
+    crashes: CrashParts
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -38,6 +38,7 @@
     ClaimEndConfirmed,
     ClaimRequest,
 )
+from .partmessages import PartsAnswered
 from .promptmessages import PromptRead, ReadersAnswer, ReadersRequest
 from .storemessages import ChangesAnswer, ChangesRequest
 
@@ -200,6 +201,8 @@
     :ivar boot: boot id of the engine run that ended; empty if unknown
     :ivar age: milliseconds since the crash was detected
     :ivar pending: whether the crash is not confirmed yet
+    :ivar parts: for each part of the requests whose answers had not begun its
+        hash and the milliseconds since a request with it was last sent
     """
 
     upstream: str
@@ -207,6 +210,7 @@
     fingerprints: tuple[int, ...]
     age: int
     pending: bool = False
+    parts: tuple[tuple[int, int], ...] = ()
 
 
 class CrashNotices(Struct, frozen=True, array_like=True, tag=13):
@@ -272,6 +276,7 @@
     | CrashNoticesRequest
     | CrashNotices
     | MemoryHandover
+    | PartsAnswered
     | PromptRead
     | ReadersAnswer
     | ChangesRequest
--- a/src/bergamotshed/routing/crashes.py
+++ b/src/bergamotshed/routing/crashes.py
@@ -5,7 +5,7 @@
 Crashes of upstreams and the requests that were in flight at each.
 """
 
-__all__ = ('Crash', 'CrashReport', 'CrashTable')
+__all__ = ('Crash', 'CrashReport', 'CrashTable', 'PartSighting')
 
 import math
 from collections.abc import Iterator
@@ -29,6 +29,18 @@
     boot: str
 
 
+@dataclass(frozen=True, slots=True)
+class PartSighting:
+    """A part of requests that were in flight at a crash.
+
+    :ivar part: hash that is equal for equal contents
+    :ivar sent_age: time since the last request with it was sent
+    """
+
+    part: int
+    sent_age: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """Fingerprints that were in flight at a crash.
@@ -36,12 +48,14 @@
     :ivar age: time since the crash was noticed
     :ivar pending: the crash is not confirmed yet; the report only holds the
         fingerprints for a short time
+    :ivar parts: the parts of requests whose answers had not begun
     """
 
     crash: Crash
     fingerprints: tuple[int, ...]
     age: timedelta = timedelta(0)
     pending: bool = False
+    parts: tuple[PartSighting, ...] = ()
 
 
 @dataclass(slots=True)
--- a/src/bergamotshed/routing/hashing.py
+++ b/src/bergamotshed/routing/hashing.py
@@ -5,9 +5,9 @@
 Hashes that are equal on every router, and rendezvous hashing with them.
 """
 
-__all__ = ('rank', 'stable_hash')
+__all__ = ('is_first', 'rank', 'stable_hash')
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from functools import lru_cache
 from hashlib import blake2b
 
@@ -39,6 +39,11 @@
     return [name for _, name in scores]
 
 
+def is_first(key: int, name: str, others: Iterable[str]) -> bool:
+    """Return whether a name precedes all others in the key's order."""
+    return rank(key, sorted({name, *others}))[0] == name
+
+
 @lru_cache(maxsize=NAME_CACHE_SIZE)
 def _name_hash(name: str) -> int:
     return stable_hash('rendezvous', name)
--- a/src/bergamotshed/routing/quarantine.py
+++ b/src/bergamotshed/routing/quarantine.py
@@ -15,8 +15,9 @@
 
 from ..clock import Clock
 from .attribution import attribute_crashes
-from .crashes import Crash, CrashReport, CrashTable
+from .crashes import Crash, CrashReport, CrashTable, PartSighting
 from .fingerprint_holds import FingerprintHolds
+from .part_quarantine import PartQuarantine
 
 DEFAULT_CRASH_LIMIT = 2
 DEFAULT_TTL = timedelta(hours=1)
@@ -31,13 +32,15 @@
 
 
 class Quarantine:
-    """Judges fingerprints by the crashes at which they were in flight.
+    """Judges requests by the crashes at which they were in flight: as a whole,
+    by their fingerprints, and by their parts.
 
     The result depends only on the set of crash reports, so routers with the
     same reports agree, whatever the order in which they arrived.
 
     :param limit: distinct crashes that quarantine a fingerprint
-    :param ttl: how long a crash is remembered
+    :param ttl: how long the crashes of a fingerprint are remembered
+    :ivar parts: judges the parts of requests
     """
 
     def __init__(
@@ -45,7 +48,9 @@
         clock: Clock,
         limit: int = DEFAULT_CRASH_LIMIT,
         ttl: timedelta = DEFAULT_TTL,
+        parts: PartQuarantine | None = None,
     ) -> None:
+        self.parts = parts or PartQuarantine(clock, lambda part: True)
         self._clock = clock
         self._limit = limit
         self._crashes = CrashTable(clock, ttl)
@@ -90,7 +95,12 @@
         return self._crashes.is_known(crash)
 
     def record_crash(
-        self, fingerprint: int, crash: Crash, started_at: float, cut_at: float
+        self,
+        fingerprint: int,
+        crash: Crash,
+        started_at: float,
+        cut_at: float,
+        parts: Iterable[int] = (),
     ) -> FingerprintStatus:
         """Record that a request was in flight at a crash.
 
@@ -99,11 +109,18 @@
 
         :param started_at: when it was sent, in monotonic seconds
         :param cut_at: when it was cut, in monotonic seconds
+        :param parts: its parts, unless the upstream had begun to answer
         """
         if started_at > self._crashes.first_cut_at(crash):
             return self.status(fingerprint)
-        age = timedelta(seconds=self._clock.monotonic() - cut_at)
-        report = CrashReport(crash, (fingerprint,), age)
+        now = self._clock.monotonic()
+        sent_age = timedelta(seconds=now - started_at)
+        report = CrashReport(
+            crash,
+            (fingerprint,),
+            timedelta(seconds=now - cut_at),
+            parts=tuple(PartSighting(part, sent_age) for part in parts),
+        )
         if self.merge((report,)):
             self._notify(report)
         return self.status(fingerprint)
@@ -130,7 +147,7 @@
     def export(self) -> tuple[CrashReport, ...]:
         """Return all reports, for a router that has none."""
         self._expire()
-        return self._crashes.reports()
+        return (*self._crashes.reports(), *self.parts.reports())
 
     def _notify(self, report: CrashReport) -> None:
         for listener in self._listeners:
@@ -140,7 +157,10 @@
         change = self._holds.add if report.pending else self._holds.lift
         for fingerprint in report.fingerprints:
             change(fingerprint, report.crash)
-        return not report.pending and self._crashes.add(report)
+        if report.pending:
+            return False
+        has_new_part = self.parts.record_crash(report)
+        return self._crashes.add(report) or has_new_part
 
     def _expire(self) -> None:
         if self._crashes.expire():
--- a/tests/forwarding/broken_peer.py
+++ b/tests/forwarding/broken_peer.py
@@ -175,3 +175,6 @@
 
     def record_start(self, instance: Instance) -> None:
         """Ignore the start."""
+
+    def record_event(self) -> None:
+        """Ignore the event."""
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from tests.standins.rawupstream import RawRequest, sealed_answer
+from tests.waiting import until
 
 from .members import Member, start_member
 from .support import (
@@ -40,6 +41,14 @@
         """Return the requests with the harmful part that reached upstreams."""
         return [run for run in self.env.runs if is_harmful(run)]
 
+    @property
+    def crash_count(self) -> int:
+        """Return how many upstreams a harmful request has crashed."""
+        return sum(
+            any(map(is_harmful, upstream.requests))
+            for upstream in self.env.upstreams
+        )
+
     async def send(
         self, member: Member, number: int, *parts: str
     ) -> RawResponse:
@@ -92,9 +101,15 @@
             await start_member(stack, env, f'gw-{number}')
             for number in range(size)
         ]
+        await until(lambda: all(knows_all(member, size) for member in members))
         yield Fleet(env, members, stack)
 
 
+def knows_all(member: Member, size: int) -> bool:
+    """Return whether a member has heard every other one."""
+    return len(member.gateway.fleet.heartbeats.latest_heartbeats) >= size - 1
+
+
 async def send_mixed(fleet: Fleet, rounds: int, pause_s: float) -> None:
     """Send harmful requests and, beside each, sound ones that share its other
     parts, to the members in turn.
@@ -140,7 +155,7 @@
     None
 ):
     async with running_fleet(3) as fleet:
-        for wave in range(5):
+        for wave in range(8):
             await asyncio.gather(
                 *(
                     fleet.send(member, 10 * wave + place, 'a', 'd', HARMFUL)
@@ -148,7 +163,10 @@
                 )
             )
             await asyncio.sleep(0.2)
-        assert len(fleet.harmful_runs) <= MAX_CRASHES + len(fleet.members)
+            if wave == MAX_CRASHES - 1:
+                reached = len(fleet.harmful_runs)
+        assert fleet.crash_count <= MAX_CRASHES
+        assert len(fleet.harmful_runs) - reached <= MAX_LATE_REQUESTS
         await assert_sound_ones_pass(fleet, 1000)
 
 
--- a/tests/routers/test_exchange.py
+++ b/tests/routers/test_exchange.py
@@ -13,10 +13,12 @@
     pack_fleet,
     unpack_fleet,
 )
+from bergamotshed.routers.confirmednotices import ConfirmedNotices
 from bergamotshed.routers.crashes import CrashExchange
 from bergamotshed.routers.errors import PeerMessageError
 from bergamotshed.routers.mesh import PeerMesh
 from bergamotshed.routers.messages import Hello
+from bergamotshed.routers.partanswers import PartAnswers
 from bergamotshed.routing.health import UpstreamHealth
 from bergamotshed.routing.membership import Membership, PeerReport
 from bergamotshed.routing.quarantine import Crash, FingerprintStatus, Quarantine
@@ -38,8 +40,10 @@
             self.mesh, self.view, self.configuration
         )
         self.quarantine = Quarantine(clock)
-        self.crashes = CrashExchange(
-            name, self.mesh, self.view, self.quarantine, clock
+        notices = ConfirmedNotices(name, self.mesh, self.view, clock)
+        self.crashes = CrashExchange(self.mesh, notices, self.quarantine, clock)
+        self.part_answers = PartAnswers(
+            self.mesh, notices, self.quarantine.parts, clock
         )
 
     @property
