Keep suspect parts in the store, for routers that all restart

After a restart of all routers at once the fleet knew nothing of a part that crashes upstreams and lost three more before it was refused again. Each front machine has no disk and the peers that a starting router asks had nothing either.

The home of a suspect part writes its crashes to a topic of the platform's store, again with each further crash, and removes it once it is cleared. A router reads the topic once at its start; afterwards its peers tell it. One call for each start and each change; a store that is away delays both.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -40,6 +40,7 @@
 from ..routers.prompthomes import PromptHomes
 from ..routers.slothomes import SlotHomes
 from ..routers.storerelay import StoreRelay
+from ..routers.suspectstore import SuspectStore
 from ..routes.current_table import CurrentRoutingTable
 from ..routing.affinity import AffinityPlacer
 from ..routing.cache_source import CacheSources
@@ -150,6 +151,12 @@
             *(follower.run for follower in fleet.followers.values()),
             fleet.heartbeats.run,
             fleet.crashes.exchange.run,
+            SuspectStore(
+                fleet.store,
+                fleet.crashes.quarantine.parts,
+                fleet.crashes.is_home,
+                clock,
+            ).run,
             live.run,
         ],
     )
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -37,6 +37,7 @@
     Topic.CONFIGURATION: 'keyed.op',
     Topic.UPSTREAMS: 'keyed.servers',
     Topic.ROUTERS: 'keyed.routers',
+    Topic.SUSPECTS: 'keyed.suspects',
 }
 CONFIGURATION_KEY = 'config'
 
--- a/src/bergamotshed/routers/crashparts.py
+++ b/src/bergamotshed/routers/crashparts.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
 from ..clock import Clock
 from ..routing.hashing import is_first
@@ -28,9 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashParts:
-    """The quarantine and what shares its reports with the other routers."""
+    """The quarantine and what shares its reports with the other routers.
+
+    :ivar is_home: returns whether this router is the one that acts on a part
+    """
 
     quarantine: Quarantine
+    is_home: Callable[[int], bool]
     exchange: CrashExchange
     answers: PartAnswers
 
@@ -51,13 +56,19 @@
     :param limit: see :class:`Quarantine`
     :param ttl: see :class:`Quarantine`
     """
-    parts = PartQuarantine(
-        clock, lambda part: is_first(part, name, live_routers())
-    )
+    is_home = partial(_is_home, name, live_routers)
+    parts = PartQuarantine(clock, is_home)
     quarantine = Quarantine(clock, limit, ttl, parts)
     notices = ConfirmedNotices(name, mesh, view, clock)
     return CrashParts(
         quarantine,
+        is_home,
         CrashExchange(mesh, notices, quarantine, clock),
         PartAnswers(mesh, notices, parts, clock),
     )
+
+
+def _is_home(
+    name: str, live_routers: Callable[[], Iterable[str]], part: int
+) -> bool:
+    return is_first(part, name, live_routers())
--- a/src/bergamotshed/routing/part_quarantine.py
+++ b/src/bergamotshed/routing/part_quarantine.py
@@ -64,6 +64,10 @@
             self._update()
         return self._suspects
 
+    def crash_count(self, part: int) -> int:
+        """Return how many crashes a part is not cleared of."""
+        return len(self._sightings.crashes(part))
+
     def add_listener(self, listener: AnswerListener) -> None:
         """Call the listener when an answer at this router clears parts."""
         self._listeners.append(listener)
@@ -145,7 +149,7 @@
         return count < MIN_INDEPENDENT_CRASHES
 
     def _is_trial_due(self, part: int) -> bool:
-        excess = max(0, self._count_crashes(part) - self._limit)
+        excess = max(0, self._count_successive(part) - self._limit)
         delay_s = FIRST_TRIAL_DELAY.total_seconds() * TRIAL_DELAY_FACTOR**excess
         last_run_at = max(
             self._sightings.last_crash_at(part), self._trials.get(part, 0)
@@ -153,7 +157,7 @@
         is_due = self._clock.monotonic() >= last_run_at + delay_s
         return is_due and self._is_home(part)
 
-    def _count_crashes(self, part: int) -> int:
+    def _count_successive(self, part: int) -> int:
         crashes = self._sightings.crashes(part)
         return self._sightings.count_successive(part, crashes)
 
@@ -167,10 +171,10 @@
 
         Crashes at the same time count half, as they may have a common cause.
         """
-        total = len(self._sightings.crashes(part))
+        total = self.crash_count(part)
         if total < self._limit:
             return False
-        successive = self._count_crashes(part)
+        successive = self._count_successive(part)
         if successive < MIN_SUCCESSIVE_CRASHES:
             return False
         return successive + total >= 2 * self._limit
--- a/src/bergamotshed/store/types.py
+++ b/src/bergamotshed/store/types.py
@@ -52,6 +52,7 @@
     CONFIGURATION = 'configuration'
     UPSTREAMS = 'upstreams'
     ROUTERS = 'routers'
+    SUSPECTS = 'suspects'
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -34,7 +34,7 @@
 
     env: GatewayEnvironment
     members: list[Member]
-    stack: AsyncExitStack
+    processes: AsyncExitStack
 
     @property
     def harmful_runs(self) -> list[RawRequest]:
@@ -49,6 +49,21 @@
             for upstream in self.env.upstreams
         )
 
+    async def start(self, size: int) -> None:
+        """Start members and wait until each has heard all others."""
+        for number in range(size):
+            self.members.append(
+                await start_member(self.processes, self.env, f'gw-{number}')
+            )
+        await until(
+            lambda: all(knows_all(member, size) for member in self.members)
+        )
+
+    async def stop(self) -> None:
+        """Stop all members at once, without notice."""
+        self.members.clear()
+        await self.processes.aclose()
+
     async def send(
         self, member: Member, number: int, *parts: str
     ) -> RawResponse:
@@ -97,12 +112,10 @@
         env = await stack.enter_async_context(
             running_gateway(*[answer] * UPSTREAM_COUNT)
         )
-        members = [
-            await start_member(stack, env, f'gw-{number}')
-            for number in range(size)
-        ]
-        await until(lambda: all(knows_all(member, size) for member in members))
-        yield Fleet(env, members, stack)
+        processes = await stack.enter_async_context(AsyncExitStack())
+        fleet = Fleet(env, [], processes)
+        await fleet.start(size)
+        yield fleet
 
 
 def knows_all(member: Member, size: int) -> bool:
@@ -174,7 +187,7 @@
     async with running_fleet(2) as fleet:
         await send_mixed(fleet, 12, 0.05)
         reached = len(fleet.harmful_runs)
-        late = await start_member(fleet.stack, fleet.env, 'gw-late')
+        late = await start_member(fleet.processes, fleet.env, 'gw-late')
         await asyncio.sleep(1)
         for number in range(2000, 2008):
             await fleet.send(late, number, 'a', 'c0', HARMFUL)
@@ -189,3 +202,18 @@
         response = await fleet.send(member, 3000, 'a', 'c0', HARMFUL)
         assert response.status == 503
         assert float(response.headers['retry-after']) > 1
+
+
+async def test_routers_that_all_restart_know_the_harmful_part() -> None:
+    async with running_fleet(2) as fleet:
+        await send_mixed(fleet, 12, 0.05)
+        reached = len(fleet.harmful_runs)
+        await asyncio.sleep(1)
+        await fleet.stop()
+        await fleet.start(2)
+        await asyncio.sleep(1)
+        for number in range(4000, 4008):
+            member = fleet.members[number % 2]
+            await fleet.send(member, number, 'a', 'c0', HARMFUL)
+        assert len(fleet.harmful_runs) == reached
+        await assert_sound_ones_pass(fleet, 5000)
