--- a/src/bergamotshed/routing/part_quarantine.py
+++ b/src/bergamotshed/routing/part_quarantine.py
@@ -149,7 +149,7 @@
         return count < MIN_INDEPENDENT_CRASHES
 
     def _is_trial_due(self, part: int) -> bool:
-        excess = max(0, self._count_successive(part) - self._limit)
+        excess = max(0, self._sightings.count_successive(part) - self._limit)
         delay_s = FIRST_TRIAL_DELAY.total_seconds() * TRIAL_DELAY_FACTOR**excess
         last_run_at = max(
             self._sightings.last_crash_at(part), self._trials.get(part, 0)
@@ -157,10 +157,6 @@
         is_due = self._clock.monotonic() >= last_run_at + delay_s
         return is_due and self._is_home(part)
 
-    def _count_successive(self, part: int) -> int:
-        crashes = self._sightings.crashes(part)
-        return self._sightings.count_successive(part, crashes)
-
     def _update(self) -> None:
         self._suspects = frozenset(
             part for part in self._sightings.parts if self._is_suspect(part)
@@ -174,7 +170,7 @@
         total = self.crash_count(part)
         if total < self._limit:
             return False
-        successive = self._count_successive(part)
+        successive = self._sightings.count_successive(part)
         if successive < MIN_SUCCESSIVE_CRASHES:
             return False
         return successive + total >= 2 * self._limit
--- a/src/bergamotshed/routing/part_sightings.py
+++ b/src/bergamotshed/routing/part_sightings.py
@@ -86,11 +86,17 @@
             self._sent_at.pop(part)
         return max(cleared.values(), default=None)
 
-    def count_successive(self, part: int, crashes: Iterable[Crash]) -> int:
+    def count_successive(
+        self, part: int, crashes: Iterable[Crash] | None = None
+    ) -> int:
         """Count crashes of a part, each of a request sent after the one before.
 
         Upstreams that fail together count once, whatever they were running.
+
+        :param crashes: some of its crashes; all by default
         """
+        if crashes is None:
+            crashes = self.crashes(part)
         count = 0
         previous = float('-inf')
         sent_at = self._sent_at[part]
