--- a/src/bergamotshed/forwarding/types.py
+++ b/src/bergamotshed/forwarding/types.py
@@ -124,6 +124,8 @@
     :ivar keep_alive_s: how long the upstream keeps an idle connection; zero
         if it closes the connection, ``None`` if not stated
     :ivar load: the load that the upstream reports; ``None`` if not stated
+    :ivar max_rate: requests a second that the upstream takes from all routers
+        together for as long as it says so; ``None`` for no limit
     :ivar caller_headers: headers that are passed on to the caller
     """
 
@@ -136,6 +138,7 @@
     delimitation: Delimitation
     keep_alive_s: float | None
     load: ReportedLoad | None
+    max_rate: float | None
     caller_headers: CallerHeaders
 
 
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -7,9 +7,12 @@
 
 __all__ = ('PlatformDialect',)
 
+import math
 from collections.abc import Iterator
 from datetime import timedelta
 
+from eliot import log_message
+
 from ..forwarding.dialect import Dialect, RequestMalformed
 from ..forwarding.types import (
     AnswerMetadata,
@@ -59,7 +62,12 @@
     )
 )
 _INTERNAL_ANSWER_HEADERS = frozenset(
-    (names.LOAD, names.NOT_EXECUTED, b'bergamotshed-instance-id')
+    (
+        names.LOAD,
+        names.REQUEST_RATE,
+        names.NOT_EXECUTED,
+        b'bergamotshed-instance-id',
+    )
 )
 _BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -128,6 +136,7 @@
             delimitation=head.delimitation,
             keep_alive_s=parse_keep_alive(by_name),
             load=_parse_load(by_name.get(names.LOAD, b'')),
+            max_rate=_parse_rate(by_name.get(names.REQUEST_RATE)),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
                 for name, value in head.headers
@@ -216,3 +225,17 @@
         return None
     running, waiting, slots = map(int, numbers)
     return ReportedLoad(running, waiting, slots)
+
+
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return a rate; ``None`` if it is missing or not a finite number."""
+    if value is None:
+        return None
+    try:
+        rate = float(value)
+    except ValueError:
+        rate = math.nan
+    if math.isfinite(rate) and rate >= 0:
+        return rate
+    log_message('upstream.limit_malformed', value=repr(value))
+    return None
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -21,6 +21,7 @@
     'OWN_PREFIXES',
     'PRIORITY',
     'PROMPT',
+    'REQUEST_RATE',
     'SEAL',
     'SETTINGS_VARIABLE',
     'TOKENS',
@@ -74,6 +75,8 @@
 NOT_EXECUTED = b'bergamotshed-not-executed'
 #: Numbers of running requests, waiting requests and slots.
 LOAD = b'bergamotshed-server-load'
+#: Requests a second that the upstream takes from all routers together.
+REQUEST_RATE = b'server-limit'
 
 #: Prefixes of headers that only routers set, except the callers' headers
 #: above; others with these prefixes are dropped from callers' requests.
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -158,6 +158,29 @@
     assert DIALECT.read_answer(head).load == expected
 
 
+@pytest.mark.parametrize(
+    ('headers', 'expected'),
+    [
+        (((b'Server-Limit', b'2.5'),), 2.5),
+        (((b'server-limit', b' 3'),), 3),
+        (((b'Server-Limit', b'0'),), 0),
+        (((b'Server-Limit', b'-1'),), None),
+        (((b'Server-Limit', b'nan'),), None),
+        (((b'Server-Limit', b'inf'),), None),
+        (((b'Server-Limit', b'many'),), None),
+        (((b'Server-Limit', b''),), None),
+        ((), None),
+    ],
+)
+def test_reads_the_rate_that_an_upstream_takes(
+    headers: Headers, expected: float | None
+) -> None:
+    head = AnswerHead(200, headers, Delimitation.LENGTH)
+    metadata = DIALECT.read_answer(head)
+    assert metadata.max_rate == expected
+    assert metadata.caller_headers == ()
+
+
 def test_forwards_the_headers_of_an_answer() -> None:
     head = AnswerHead(
         200,
