--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -7,12 +7,9 @@
 
 __all__ = ('PlatformDialect',)
 
-import math
 from collections.abc import Iterator
 from datetime import timedelta
 
-from eliot import log_message
-
 from ..forwarding.dialect import Dialect, RequestMalformed
 from ..forwarding.types import (
     AnswerMetadata,
@@ -33,19 +30,9 @@
 
 #: Headers of a single connection, and those that the HTTP layer generates.
 _HOP_BY_HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-        b'expect',
-    )
+    b'connection keep-alive proxy-authenticate proxy-authorization '
+    b'proxy-connection te trailer transfer-encoding upgrade content-length '
+    b'expect'.split()
 )
 _REPLACED_HEADERS = _HOP_BY_HOP_HEADERS | {
     b'host',
@@ -136,7 +123,7 @@
             delimitation=head.delimitation,
             keep_alive_s=parse_keep_alive(by_name),
             load=_parse_load(by_name.get(names.LOAD, b'')),
-            max_rate=_parse_rate(by_name.get(names.REQUEST_RATE)),
+            max_rate=_parse_rate(by_name.get(names.REQUEST_RATE, b'')),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
                 for name, value in head.headers
@@ -227,15 +214,9 @@
     return ReportedLoad(running, waiting, slots)
 
 
-def _parse_rate(value: bytes | None) -> float | None:
-    """Return a rate; ``None`` if it is missing or not a finite number."""
-    if value is None:
-        return None
+def _parse_rate(value: bytes) -> float | None:
     try:
         rate = float(value)
     except ValueError:
-        rate = math.nan
-    if math.isfinite(rate) and rate >= 0:
-        return rate
-    log_message('upstream.limit_malformed', value=repr(value))
-    return None
+        return None
+    return rate if 0 <= rate < float('inf') else None
