--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -192,6 +192,7 @@
         store=store,
         store_health=health,
         traffic=traffic,
+        mesh=mesh,
         routing=routing,
         registry=registry,
         roster=roster,
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -23,6 +23,7 @@
 from ..roster.roster import Roster
 from ..routers.crashparts import CrashParts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
+from ..routers.mesh import PeerMesh
 from ..routers.prompthomes import PromptHomes
 from ..routers.slothomes import SlotHomes
 from ..routes.current_table import CurrentRoutingTable
@@ -44,6 +45,7 @@
     store: KeyedStore
     store_health: StoreHealth
     traffic: Traffic
+    mesh: PeerMesh
     routing: CurrentRoutingTable
     registry: UpstreamRegistry
     roster: Roster
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -10,7 +10,8 @@
 FOLDER = PACKAGE / 'platform'
 NAMES = re.compile(
     r'Bergamotshed-[A-Z]|bergamotshed-[a-z]+-[a-z]|BERGAMOTSHED_BOOT|'
-    r'Store-Era|keyed\.(op|servers|status|routers)|/log-[a-z]+|\bkv-[a-z]+|'
+    r'Store-Era|Server-Limit|keyed\.(op|servers|status|routers|suspects)|'
+    r'/log-[a-z]+|\bkv-[a-z]+|'
     r'\btenants?\b|max_kb|\bwait_ms|first_offset|path_prefix.:|api_keys',
     re.IGNORECASE,
 )
