Keep the request rate that an upstream names over all routers

Cause: nothing read the limit. The class of fault that a first fix would have brought back is a bound for the sum of all routers that each of them keeps alone.

Change: an upstream with a limit has a home among the live routers (rendezvous), which spaces the sends there; every router asks it before each send. A home grants the share of the limit that the routers it hears have among those listed, so that the homes on both sides of a cut together grant no more than the limit; one whose router is new starts without a burst. A router whose home does not answer sends nothing there. A refused request goes to the next upstream; if all are at their limits it waits for its turn, for as long as requests wait for slots, or is refused at once with the time until then. Routers tell each other of limits and their ends, and a starting one asks.

Ruled out: a static share for each router (with 33 routers and two requests a second each may send one in 16 s, and 33 unused ones at once are over the bound); requests of one home without shares (the state machine of the new tests fails without them).

--- a/src/bergamotshed/composition.py
+++ b/src/bergamotshed/composition.py
@@ -43,6 +43,7 @@
 from .process.traffic import Traffic
 from .routers.claims import OwnerClaims
 from .routers.configuration import ConfigurationExchange
+from .routers.confirmednotices import ConfirmedNotices
 from .routers.crashparts import build_crash_parts
 from .routers.heartbeats import Heartbeats
 from .routers.mesh import PeerMesh
@@ -142,7 +143,11 @@
         incarnation=time.time_ns() // NANOSECONDS_PER_MICROSECOND,
     )
     crashes = build_crash_parts(
-        name, mesh, membership, lambda: _live_routers(membership), clock
+        name,
+        mesh,
+        ConfirmedNotices(name, mesh, membership, clock),
+        lambda: _live_routers(membership),
+        clock,
     )
     placer = HomePlacer(
         name,
--- a/src/bergamotshed/forwarding/answer_observer.py
+++ b/src/bergamotshed/forwarding/answer_observer.py
@@ -8,6 +8,7 @@
 __all__ = ('AnswerObserver',)
 
 from ..routing.prompt_readers import SharedPromptReaders
+from ..routing.types import SharedRates
 from ..routing.upstream_loads import UpstreamLoads
 from ..upstreams.types import Instance, ReportedLoad
 from .crash_watch import CrashWatch
@@ -16,20 +17,35 @@
 
 
 class AnswerObserver(ExchangeObserver):
-    """Records loads, prompts that were read, and first events."""
+    """Records loads, limits, prompts that were read, and first events."""
 
     def __init__(
         self,
         request: RoutedRequest,
         loads: UpstreamLoads,
         prompts: SharedPromptReaders,
+        rates: SharedRates,
         watch: CrashWatch,
     ) -> None:
+        self._rates = rates
+        self._sent_at = float('-inf')
         self._request = request
         self._loads = loads
         self._prompts = prompts
         self._watch = watch
 
+    def start(self, sent_at: float) -> None:
+        """Begin an attempt.
+
+        :param sent_at: in monotonic seconds
+        """
+        self._sent_at = sent_at
+        self._watch.start()
+
+    def record_limit(self, instance: Instance, rate: float | None) -> None:
+        """Record the limit that the upstream names."""
+        self._rates.record_limit(instance, rate, self._sent_at)
+
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
         """Record the load that an upstream reported."""
         self._loads.record_report(instance, load)
--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -19,7 +19,7 @@
 from ..routing.affinity import AffinityPlacer, PlacedUpstream, PlacementQuery
 from ..routing.fleet_retry_budget import FleetRetryBudget
 from ..routing.prompt_readers import SharedPromptReaders
-from ..routing.types import PlacementRequest, SharedSlots
+from ..routing.types import PlacementRequest, SharedRates, SharedSlots
 from ..routing.upstream_loads import ExchangeOutcome, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
@@ -70,6 +70,7 @@
     loads: UpstreamLoads
     prompts: SharedPromptReaders
     slots: SharedSlots
+    rates: SharedRates
     retries: FleetRetryBudget
     pool: ConnectionPool
     dialect: Dialect
@@ -100,6 +101,13 @@
         self.watch = CrashWatch(
             dependencies.crashes, request, dependencies.clock
         )
+        self._observer = AnswerObserver(
+            request,
+            dependencies.loads,
+            dependencies.prompts,
+            dependencies.rates,
+            self.watch,
+        )
         self._dependencies = dependencies
         self._request = request
         self._admitted = admitted
@@ -108,9 +116,7 @@
             self.relay,
             dependencies.dialect,
             dependencies.pool,
-            AnswerObserver(
-                request, dependencies.loads, dependencies.prompts, self.watch
-            ),
+            self._observer,
         )
         self._tried: set[str] = set()
         self._attempt_count = 0
@@ -129,8 +135,14 @@
             self._request.model,
             self._request.shared_parts,
             frozenset(self._tried),
+            self._barred(),
         )
 
+    @property
+    def patience_for_slot(self) -> timedelta:
+        """Return how long the request may wait before it is sent."""
+        return self._admitted.route.target_latency * SLOT_WAIT_SHARE
+
     def slot_request(self, unusable: frozenset[str]) -> PlacementRequest:
         """Return the request for a slot, to the home of the service.
 
@@ -147,7 +159,7 @@
             priority=admitted.priority,
             deadline=timedelta(seconds=max(0, remaining_s)),
             excluded=unusable,
-            patience=admitted.route.target_latency * SLOT_WAIT_SHARE,
+            patience=self.patience_for_slot,
         )
 
     async def make_attempt(
@@ -161,7 +173,7 @@
         dependencies = self._dependencies
         instance = placed.instance
         started_at = dependencies.clock.monotonic()
-        self.watch.start()
+        self._observer.start(started_at)
         self._tried.add(instance.name)
         dependencies.loads.record_start(instance)
         exchange_outcome = ExchangeOutcome.ABANDONED
@@ -210,6 +222,14 @@
             return False
         return self._dependencies.retries.spend(self._admitted.service)
 
+    def _barred(self) -> frozenset[str]:
+        dependencies = self._dependencies
+        return frozenset(
+            member.name
+            for member in dependencies.registry.members(self._admitted.service)
+            if dependencies.rates.time_blocked(member)
+        )
+
     @property
     def _is_run_once(self) -> bool:
         return self._admitted.route.repeatability is Repeatability.ONCE
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -86,6 +86,12 @@
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
         """Record the load that an upstream reported."""
 
+    @abstractmethod
+    def record_limit(self, instance: Instance, rate: float | None) -> None:
+        """Record the requests a second that an upstream takes; ``None`` if it
+        names no limit.
+        """
+
     @abstractmethod
     def record_start(self, instance: Instance) -> None:
         """Record that an upstream has read the prompt and started to answer."""
@@ -189,6 +195,8 @@
         flaw = self._find_flaw(self.answer_metadata)
         if flaw:
             return self._broken_result(flaw)
+        if self.answer_metadata.status != HTTP_MISDIRECTED:
+            self._observer.record_limit(instance, self.answer_metadata.max_rate)
         if _is_success(self.answer_metadata):
             self._observer.record_start(instance)
         return await self._read_answer(connection, self.answer_metadata)
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 
 from ..reasons import Reason, Refusal
-from ..routing.affinity import PlacedUpstream
+from ..routing.affinity import ALL_BUSY_RETRY_AFTER, PlacedUpstream
 from ..routing.types import Outcome, Placement
 from .attempts import ForwardingDependencies, RequestAttempts
 from .outcome import AttemptOutcome, AttemptResult
@@ -20,6 +20,12 @@
 #: Retry-After of a quarantined request.
 QUARANTINE_RETRY_AFTER = timedelta(seconds=30)
 
+#: Shortest Retry-After of a request that no upstream takes at its rate.
+MIN_RATE_RETRY_AFTER = timedelta(milliseconds=100)
+#: Upstreams that are asked in turn whether their limits allow a request.
+MAX_PLACEMENTS = 12
+NO_WAIT = timedelta(0)
+
 _RUN_OUTCOMES = frozenset((AttemptOutcome.ANSWERED, AttemptOutcome.FAILED))
 
 
@@ -35,6 +41,19 @@
         """Choose an upstream; call :meth:`release_slot` after the attempt."""
         if not attempts.watch.admits():
             return Refusal(Reason.QUARANTINED, QUARANTINE_RETRY_AFTER)
+        for _ in range(MAX_PLACEMENTS):
+            placed = await self._choose_unblocked(attempts)
+            if isinstance(placed, Refusal):
+                return await self._wait_for_rate(attempts) or placed
+            rates = self._dependencies.rates
+            if await rates.acquire(placed.instance, NO_WAIT):
+                return placed
+            self.release_slot(placed, None)
+        return Refusal(Reason.OVERLOADED, ALL_BUSY_RETRY_AFTER)
+
+    async def _choose_unblocked(
+        self, attempts: RequestAttempts
+    ) -> PlacedUpstream | Refusal:
         query = attempts.query
         if query.shared_parts:
             return await self._place_at_reader(attempts)
@@ -62,6 +81,37 @@
             placed.slot, Outcome.DONE if has_run else Outcome.CANCELLED
         )
 
+    async def _wait_for_rate(
+        self, attempts: RequestAttempts
+    ) -> PlacedUpstream | Refusal | None:
+        """Wait until one of the upstreams at their limits takes the request.
+
+        :return: a refusal if that takes too long, ``None`` if no upstream that
+            was not tried is at its limit
+        """
+        dependencies = self._dependencies
+        query = attempts.query
+        blocked = {
+            member.name: dependencies.rates.time_blocked(member)
+            for member in dependencies.registry.members(query.service)
+            if member.name in query.barred - query.tried
+        }
+        if not blocked:
+            return None
+        name = min(blocked, key=blocked.__getitem__)
+        instance = dependencies.registry.instances.get(name)
+        patience = attempts.patience_for_slot
+        if instance is not None and blocked[name] <= patience:
+            if await dependencies.rates.acquire(instance, patience):
+                load = dependencies.loads.load_of(instance).in_flight
+                return PlacedUpstream(instance, False, load)
+            blocked[name] = dependencies.rates.time_blocked(instance)
+        return Refusal(
+            Reason.OVERLOADED,
+            max(blocked[name], MIN_RATE_RETRY_AFTER),
+            'all upstreams are at the rate that they take',
+        )
+
     async def _place_at_reader(
         self, attempts: RequestAttempts
     ) -> PlacedUpstream | Refusal:
@@ -99,10 +149,10 @@
     def _find_unusable(
         self, attempts: RequestAttempts
     ) -> frozenset[str] | None:
-        """Return the upstreams to avoid; ``None`` if all were tried.
+        """Return the upstreams to avoid; ``None`` if no other is left.
 
-        These are the upstreams tried and the ejected ones, or only those
-        tried if no other is left.
+        These are the upstreams that were tried, those at their limits and the
+        ejected ones; the latter only if there are others.
         """
         query = attempts.query
         members = self._dependencies.registry.members(query.service)
@@ -112,7 +162,8 @@
             for member in members
             if self._dependencies.loads.is_ejected(member)
         }
-        for unusable in (query.tried | failing, query.tried):
+        closed = query.tried | query.barred
+        for unusable in (closed | failing, closed):
             if names - unusable:
                 return frozenset(unusable)
         return None
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -34,10 +34,12 @@
 from ..roster.announcer import Announcer
 from ..roster.roster import Roster
 from ..roster.types import RosterEntry
+from ..routers.confirmednotices import ConfirmedNotices
 from ..routers.crashparts import build_crash_parts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
 from ..routers.mesh import PeerMesh
 from ..routers.prompthomes import PromptHomes
+from ..routers.ratehomes import RateHomes
 from ..routers.slothomes import SlotHomes
 from ..routers.storerelay import StoreRelay
 from ..routers.suspectstore import SuspectStore
@@ -49,11 +51,11 @@
     FleetRetryBudgetOptions,
 )
 from ..routing.upstream_loads import UpstreamLoads
-from ..store.follower import FollowerOptions, TopicFollower
 from ..store.health import StoreHealth
-from ..store.types import KeyedStore, Topic, TopicConsumer
+from ..store.types import Topic
 from ..upstreams.pool import ConnectionPool, PoolOptions
 from ..upstreams.registry import UpstreamRegistry
+from .followers import build_followers, topic_consumers
 from .heartbeat import HeartbeatBuilder
 from .inspection import health_report, register_inspection
 from .live_settings import LiveSettings
@@ -78,17 +80,6 @@
 #: allows three), and how long a crash counts.
 MAX_CRASHES = 3
 CRASH_RETENTION = timedelta(minutes=2)
-#: Share of the time within which a change must take effect for which a read
-#: may block; the rest is for transfer and for applying the change.
-WAIT_SHARE = 0.7
-#: Pauses after a read with changes, which batch those that follow; otherwise
-#: every change of a list would cause a call by every router. They are bounded
-#: because a leaving upstream must be noticed, and a new version be in force,
-#: within 2 s.
-CONFIGURATION_BATCH_PAUSE = timedelta(milliseconds=150)
-UPSTREAMS_BATCH_PAUSE = timedelta(milliseconds=600)
-ROUTERS_BATCH_PAUSE = timedelta(seconds=1)
-
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -188,18 +179,18 @@
         routing.hear_version,
         clock,
     )
+    notices = ConfirmedNotices(entry.name, mesh, roster, clock)
     return FleetParts(
         store=store,
         store_health=health,
         traffic=traffic,
-        mesh=mesh,
         routing=routing,
         registry=registry,
         roster=roster,
         crashes=build_crash_parts(
             entry.name,
             mesh,
-            roster,
+            notices,
             heartbeats.live_routers,
             clock,
             MAX_CRASHES,
@@ -207,9 +198,10 @@
         ),
         heartbeats=heartbeats,
         prompts=PromptHomes(entry.name, mesh, heartbeats.live_routers, clock),
+        rates=RateHomes(entry.name, mesh, notices, heartbeats, clock),
         slots=SlotHomes(entry.name, mesh, heartbeats, registry, clock),
-        followers=_build_followers(
-            _topic_consumers(settings, routing, registry, roster),
+        followers=build_followers(
+            topic_consumers(settings, routing, registry, roster),
             StoreRelay(
                 store,
                 entry.name,
@@ -234,68 +226,6 @@
     return [name for name in heartbeats.live_routers() if name in in_domain]
 
 
-def _build_followers(
-    consumers: dict[Topic, tuple[TopicConsumer, FollowerOptions]],
-    store: KeyedStore,
-    health: StoreHealth,
-    clock: Clock,
-    spread: ReturnSpread,
-) -> dict[Topic, TopicFollower]:
-    return {
-        topic: TopicFollower(
-            store, topic, consumer, options, health, clock, spread.draw
-        )
-        for topic, (consumer, options) in consumers.items()
-    }
-
-
-def _topic_consumers(
-    settings: GatewaySettings,
-    routing: TopicConsumer,
-    registry: TopicConsumer,
-    roster: TopicConsumer,
-) -> dict[Topic, tuple[TopicConsumer, FollowerOptions]]:
-    store = settings.store
-    limits = settings.configuration
-    return {
-        Topic.CONFIGURATION: (
-            routing,
-            _follower_options(
-                store.configuration_wait_ms,
-                limits.apply_ms,
-                CONFIGURATION_BATCH_PAUSE,
-            ),
-        ),
-        Topic.UPSTREAMS: (
-            registry,
-            _follower_options(
-                store.upstreams_wait_ms, limits.leave_ms, UPSTREAMS_BATCH_PAUSE
-            ),
-        ),
-        Topic.ROUTERS: (
-            roster,
-            FollowerOptions(
-                store.routers_wait_ms * MILLISECOND, ROUTERS_BATCH_PAUSE
-            ),
-        ),
-    }
-
-
-def _follower_options(
-    max_wait_ms: float, bound_ms: float, batch_pause: timedelta
-) -> FollowerOptions:
-    """Return the options for a topic whose changes must be seen in time.
-
-    A read may miss a record, or its answer may be lost; the change is then
-    seen by the next read, so the wait bounds the delay.
-
-    :param max_wait_ms: longest wait for a change in one read
-    :param bound_ms: time within which a change must take effect
-    """
-    wait = min(max_wait_ms, bound_ms * WAIT_SHARE) * MILLISECOND
-    return FollowerOptions(wait, batch_pause)
-
-
 def _build_mesh(entry: RosterEntry, clock: Clock, traffic: Traffic) -> PeerMesh:
     return PeerMesh(
         entry.name,
@@ -347,6 +277,7 @@
         loads=loads,
         prompts=fleet.prompts,
         slots=fleet.slots,
+        rates=fleet.rates,
         retries=FleetRetryBudget(
             lambda: _retry_options(live.current),
             fleet.roster.count,
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -99,7 +99,7 @@
     await _start_tasks(gateway, stream.run, *gateway.tasks)
     followers = gateway.fleet.followers.values()
     await wait_until_listed(followers, START_TIMEOUT)
-    await gateway.learn_newest_version()
+    await asyncio.gather(gateway.learn_newest_version(), gateway.learn_limits())
     await gateway.directory.start(listeners[addresses.directory])
     await gateway.edge.start(listeners[addresses.callers])
     await _start_tasks(
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -23,8 +23,8 @@
 from ..roster.roster import Roster
 from ..routers.crashparts import CrashParts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
-from ..routers.mesh import PeerMesh
 from ..routers.prompthomes import PromptHomes
+from ..routers.ratehomes import RateHomes
 from ..routers.slothomes import SlotHomes
 from ..routes.current_table import CurrentRoutingTable
 from ..store.follower import TopicFollower
@@ -45,7 +45,6 @@
     store: KeyedStore
     store_health: StoreHealth
     traffic: Traffic
-    mesh: PeerMesh
     routing: CurrentRoutingTable
     registry: UpstreamRegistry
     roster: Roster
@@ -53,6 +52,7 @@
     heartbeats: GatewayHeartbeats
     prompts: PromptHomes
     slots: SlotHomes
+    rates: RateHomes
     followers: dict[Topic, TopicFollower]
 
 
@@ -121,6 +121,12 @@
         if self.fleet.routing.has_heard_newer:
             await self.fleet.followers[Topic.CONFIGURATION].confirm()
 
+    async def learn_limits(self) -> None:
+        """Ask peers for the limits of upstreams, which this router would
+        exceed until it has heard them itself.
+        """
+        await self.fleet.rates.fetch()
+
     def entry_addresses(self) -> list[str]:
         """Return the addresses where callers may connect."""
         addresses = self.fleet.roster.entry_addresses(
@@ -132,8 +138,10 @@
         """Drop unused connections and counters and apply new limits."""
         self.forwarding.pool.sweep()
         self.fleet.slots.release_silent_routers()
-        self.forwarding.loads.forget_unlisted(
-            list(self.fleet.registry.instances.values())
+        instances = list(self.fleet.registry.instances.values())
+        self.forwarding.loads.forget_unlisted(instances)
+        self.fleet.rates.known.forget_unlisted(
+            instance.incarnation for instance in instances
         )
         table = self.fleet.routing.table
         if table is not None:
--- a/src/bergamotshed/routers/crashparts.py
+++ b/src/bergamotshed/routers/crashparts.py
@@ -20,7 +20,6 @@
     DEFAULT_TTL,
     Quarantine,
 )
-from ..routing.view import RouterView
 from .confirmednotices import ConfirmedNotices
 from .crashes import CrashExchange
 from .mesh import PeerMesh
@@ -43,7 +42,7 @@
 def build_crash_parts(
     name: str,
     mesh: PeerMesh,
-    view: RouterView,
+    notices: ConfirmedNotices,
     live_routers: Callable[[], Iterable[str]],
     clock: Clock,
     limit: int = DEFAULT_CRASH_LIMIT,
@@ -59,7 +58,6 @@
     is_home = partial(_is_home, name, live_routers)
     parts = PartQuarantine(clock, is_home)
     quarantine = Quarantine(clock, limit, ttl, parts)
-    notices = ConfirmedNotices(name, mesh, view, clock)
     return CrashParts(
         quarantine,
         is_home,
--- a/src/bergamotshed/routers/gatewayheartbeats.py
+++ b/src/bergamotshed/routers/gatewayheartbeats.py
@@ -64,6 +64,11 @@
         mesh.on_notice(GatewayHeartbeat, self._receive)
         mesh.on_question(HeartbeatRequest, self._answer)
 
+    @property
+    def mesh(self) -> PeerMesh:
+        """Return the connections to the other routers."""
+        return self._mesh
+
     @property
     def latest_heartbeats(self) -> dict[str, GatewayHeartbeat]:
         """Return the last heartbeat of each router; not to be modified."""
@@ -96,6 +101,15 @@
             )
         )
 
+    def live_share(self) -> float:
+        """Return the share of the routers that are not leaving that is live.
+
+        Routers that can't hear each other see shares that add up to one.
+        """
+        staying = sum(not node.leaving for node in self._nodes())
+        live = len(self.live_routers())
+        return min(1, max(1, live) / max(1, staying))
+
     async def ask_versions(self) -> None:
         """Ask some peers for their versions; for the start of a router."""
         others = [
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -40,6 +40,12 @@
 )
 from .partmessages import PartsAnswered
 from .promptmessages import PromptRead, ReadersAnswer, ReadersRequest
+from .ratemessages import (
+    LimitsKnown,
+    LimitsRequest,
+    RateAnswer,
+    RateRequest,
+)
 from .storemessages import ChangesAnswer, ChangesRequest
 
 #: Version of the protocol, sent in the first message to a peer.
@@ -277,6 +283,10 @@
     | CrashNotices
     | MemoryHandover
     | PartsAnswered
+    | RateRequest
+    | RateAnswer
+    | LimitsKnown
+    | LimitsRequest
     | PromptRead
     | ReadersAnswer
     | ChangesRequest
--- a/src/bergamotshed/routers/partanswers.py
+++ b/src/bergamotshed/routers/partanswers.py
@@ -8,8 +8,6 @@
 
 __all__ = ('PartAnswers',)
 
-import asyncio
-import random
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -20,13 +18,10 @@
 from .mesh import PeerMesh
 from .messages import CrashNotices, Message
 from .partmessages import PartsAnswered
+from .spreadnotices import SpreadNotices
 
 MILLISECOND = timedelta(milliseconds=1)
 
-#: Longest wait per peer before parts are announced. In a large fleet most
-#: routers hear of the same answer from another one meanwhile, and say nothing.
-DELAY_PER_PEER = timedelta(milliseconds=2)
-
 
 @dataclass(frozen=True, slots=True)
 class _Answered:
@@ -49,49 +44,35 @@
         parts: PartQuarantine,
         clock: Clock,
     ) -> None:
-        self._notices = notices
         self._parts = parts
         self._clock = clock
-        self._unannounced: dict[int, _Answered] = {}
-        self._announcement: asyncio.Task[None] | None = None
+        self._news: SpreadNotices[int, _Answered] = SpreadNotices(
+            notices, clock, self._notice_of
+        )
         mesh.on_question(PartsAnswered, self._receive)
-        parts.add_listener(self._schedule)
+        parts.add_listener(self._announce)
 
-    def _schedule(
+    def _announce(
         self, cleared: Mapping[int, float], answered_at: float
     ) -> None:
-        """Announce parts after a random delay."""
         for part, crash_at in cleared.items():
-            self._unannounced[part] = _Answered(crash_at, answered_at)
-        if self._announcement is None:
-            self._announcement = asyncio.create_task(self._announce())
+            self._news.schedule(part, _Answered(crash_at, answered_at))
 
-    async def _announce(self) -> None:
-        max_delay = DELAY_PER_PEER * len(self._notices.peers())
-        await self._clock.sleep(random.random() * max_delay)
-        self._announcement = None
-        if not self._unannounced:
-            return
+    def _notice_of(self, answered: Mapping[int, _Answered]) -> PartsAnswered:
         now = self._clock.monotonic()
-        notice = PartsAnswered(
+        return PartsAnswered(
             tuple(
-                (
-                    part,
-                    timedelta(seconds=now - answered.answered_at)
-                    // MILLISECOND,
-                )
-                for part, answered in self._unannounced.items()
+                (part, timedelta(seconds=now - each.answered_at) // MILLISECOND)
+                for part, each in answered.items()
             )
         )
-        self._unannounced.clear()
-        self._notices.send(notice)
 
     async def _receive(self, peer: str, notice: PartsAnswered) -> Message:
         now = self._clock.monotonic()
         for part, age in notice.parts:
             answered_at = now - (age * MILLISECOND).total_seconds()
             self._parts.clear((part,), answered_at)
-            own = self._unannounced.get(part)
+            own = self._news.waiting(part)
             if own is not None and own.crash_at <= answered_at:
-                self._unannounced.pop(part)
+                self._news.cancel(part)
         return CrashNotices()
--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -41,12 +41,14 @@
     :ivar shared_parts: leading parts of the prompt that are shared with
         other requests; the last one is the subject
     :ivar tried: names of the upstreams that it was already sent to
+    :ivar barred: names of the upstreams that take no request now
     """
 
     service: str
     model: str = ''
     shared_parts: tuple[str, ...] = ()
     tried: frozenset[str] = frozenset()
+    barred: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,13 +119,14 @@
         available = [
             instance
             for instance in untried
-            if self._loads.load_of(instance).in_flight < limit
+            if instance.name not in query.barred
+            and self._loads.load_of(instance).in_flight < limit
         ]
         if not available:
             return Refusal(
                 Reason.OVERLOADED,
                 ALL_BUSY_RETRY_AFTER,
-                f'all have {limit:.0f}',
+                f'all have {limit:.0f} or are at the rate that they take',
             )
         return self._choose(query, available)
 
--- a/src/bergamotshed/routing/types.py
+++ b/src/bergamotshed/routing/types.py
@@ -10,6 +10,7 @@
     'Placement',
     'PlacementRequest',
     'Placer',
+    'SharedRates',
     'SharedSlots',
     'Upstream',
     'UpstreamState',
@@ -21,6 +22,7 @@
 from enum import Enum
 
 from ..reasons import Refusal
+from ..upstreams.types import Instance
 
 
 class UpstreamState(Enum):
@@ -143,3 +145,32 @@
     @abstractmethod
     def release(self, placement: Placement, outcome: Outcome) -> None:
         """Release a slot."""
+
+
+class SharedRates(ABC):
+    """Limits on the requests a second to upstreams, which hold over all
+    routers; override all methods.
+    """
+
+    @abstractmethod
+    def record_limit(
+        self, instance: Instance, rate: float | None, sent_at: float
+    ) -> None:
+        """Record the limit that an answer names.
+
+        :param rate: requests a second; ``None`` for no limit
+        :param sent_at: when its request was sent, in monotonic seconds
+        """
+
+    @abstractmethod
+    def time_blocked(self, instance: Instance) -> timedelta:
+        """Return how long nothing may be sent to an upstream."""
+
+    @abstractmethod
+    async def acquire(self, instance: Instance, max_wait: timedelta) -> bool:
+        """Return whether a request may be sent, after waiting for its turn.
+
+        If not, nothing may be sent to the upstream for a while.
+
+        :param max_wait: longest time to wait
+        """
--- a/tests/forwarding/broken_peer.py
+++ b/tests/forwarding/broken_peer.py
@@ -173,6 +173,9 @@
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
         """Ignore the load."""
 
+    def record_limit(self, instance: Instance, rate: float | None) -> None:
+        """Ignore the limit."""
+
     def record_start(self, instance: Instance) -> None:
         """Ignore the start."""
 
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -48,6 +48,9 @@
 
     async def start(self, name: str) -> Member:
         member = await start_member(self.processes, self.env, name)
+        if self.members:
+            await until(member.gateway.fleet.heartbeats.has_ready_peer)
+        await member.gateway.learn_limits()
         self.members.append(member)
         return member
 
@@ -163,7 +166,7 @@
     member: Member, lost: Member, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Lose all messages between a member and a lost one."""
-    pool = member.gateway.fleet.mesh.pool
+    pool = member.gateway.fleet.heartbeats.mesh.pool
     lost_name = lost.gateway.settings.node.name
     get = pool.get
     monkeypatch.setattr(
