Let the state machine of rate homes find homes that grant the whole limit

Its routers now send for up to five seconds at a time; with the whole limit granted on each side of a cut it fails (36 requests in 4 s, 35 allowed), and with shares it passes.

--- a/tests/routing/test_rate_home.py
+++ b/tests/routing/test_rate_home.py
@@ -111,21 +111,26 @@
     def restart(self, name: str) -> None:
         self.homes[name] = RateHome(self.clock)
 
-    @rule(name=st.sampled_from(ROUTERS), count=st.integers(1, 30))
-    def send(self, name: str, count: int) -> None:
+    @rule(
+        ticks=st.integers(1, 250),
+        senders=st.sets(st.sampled_from(ROUTERS), min_size=2),
+    )
+    def send(self, ticks: int, senders: set[str]) -> None:
+        """Let some routers send as much as they may."""
+        for _ in range(ticks):
+            self.clock.advance(20 * MILLISECOND)
+            if self.clock.monotonic() - self.changed_at > MAX_VIEW_AGE_S:
+                self.update_views(ROUTERS)
+            for name in sorted(senders):
+                self.send_from(name)
+
+    def send_from(self, name: str) -> None:
         home = rank(1, sorted(self.views[name]))[0]
         if self.side[home] != self.side[name]:
             return
         rate = LIMIT * len(self.views[home]) / len(ROUTERS)
-        for _ in range(count):
-            if self.homes[home].grant(UPSTREAM, rate, NO_WAIT).is_granted:
-                self.sent.append(self.clock.monotonic())
-
-    @rule(duration_ms=st.integers(1, 400))
-    def pass_time(self, duration_ms: int) -> None:
-        self.clock.advance(duration_ms * MILLISECOND)
-        if self.clock.monotonic() - self.changed_at > MAX_VIEW_AGE_S:
-            self.update_views(ROUTERS)
+        if self.homes[home].grant(UPSTREAM, rate, NO_WAIT).is_granted:
+            self.sent.append(self.clock.monotonic())
 
     def update_views(self, names: Iterable[str]) -> None:
         for name in names:
@@ -142,6 +147,6 @@
 
 
 SplitFleet.TestCase.settings = settings(
-    max_examples=100, stateful_step_count=60, deadline=None, derandomize=True
+    max_examples=100, stateful_step_count=20, deadline=None, derandomize=True
 )
 TestSplitFleet = SplitFleet.TestCase
