--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -146,7 +146,7 @@
         candidates = usable or healthy or available
         if not query.shared_parts:
             return self._place_by_load(candidates)
-        placed = self._place_by_subject(query.shared_parts[-1], candidates)
+        placed = self._place_by_subject(query, candidates)
         source = self._sources.find(query.shared_parts, placed.instance)
         is_unread = not self._sources.has_read(
             query.shared_parts, placed.instance
@@ -154,10 +154,23 @@
         return replace(placed, source=source, is_unread=is_unread)
 
     def _place_by_subject(
-        self, subject: str, candidates: Sequence[Instance]
+        self, query: PlacementQuery, candidates: Sequence[Instance]
     ) -> PlacedUpstream:
         by_name = {instance.name: instance for instance in candidates}
-        order = subject_order(subject, tuple(by_name))
+        order = subject_order(query.shared_parts[-1], tuple(by_name))
+        if query.barred:
+            # What a limited upstream does not take goes to one that has the
+            # prompt already, in place of a different one each time.
+            order = tuple(
+                sorted(
+                    order,
+                    key=lambda name: (
+                        not self._sources.has_read(
+                            query.shared_parts, by_name[name]
+                        )
+                    ),
+                )
+            )
         loads = {
             name: self._loads.estimate_load(instance)
             for name, instance in by_name.items()
--- a/tests/routing/test_affinity.py
+++ b/tests/routing/test_affinity.py
@@ -150,6 +150,28 @@
     assert placed.source == first
 
 
+def test_what_a_barred_upstream_does_not_take_goes_to_a_reader() -> None:
+    bench = PlacerBench(*FIVE)
+    first = bench.place('p').instance.name
+    reader = next(listed for listed in reversed(FIVE) if listed.name != first)
+    bench.readers.record_read(('begin', 'p'), reader.incarnation)
+    placed = bench.place('p', barred=frozenset((first,)))
+    assert placed.instance == reader
+    assert placed.source is None
+    assert bench.place('p').instance.name == first
+
+
+def test_barred_upstreams_get_nothing() -> None:
+    bench = PlacerBench(*FIVE)
+    names = {listed.name for listed in FIVE}
+    for subject in ('', 'p'):
+        placed = bench.place(subject, barred=frozenset(names - {'e3'}))
+        assert placed.instance.name == 'e3'
+    refused = bench.placer.place(PlacementQuery('s', barred=frozenset(names)))
+    assert isinstance(refused, Refusal)
+    assert refused.reason is Reason.OVERLOADED
+
+
 def test_a_leaving_upstream_is_copied_from_but_not_chosen() -> None:
     bench = PlacerBench(*FIVE)
     reader = bench.place('p').instance
