Limit the bytes of an answer that are no body

The parser kept no count.

An answer may now have 128 KiB that are no body, and 16 bytes more for each byte of body, which small chunks need. What goes beyond is a broken answer at once.

--- a/src/bergamotshed/upstreams/parsing.py
+++ b/src/bergamotshed/upstreams/parsing.py
@@ -19,6 +19,11 @@
     UpstreamAnswerBroken,
 )
 
+#: Bytes of an answer that are no body: heads, interim answers, chunk lines and
+#: trailers. Chunks add to what is allowed, as each has lines of its own.
+MAX_FRAMING_BYTES = 131_072
+MAX_FRAMING_PER_BODY_BYTE = 16
+
 _BODILESS = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 
@@ -46,12 +51,16 @@
         self._parser = HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._pieces: deque[bytes] = deque()
+        self._received_bytes = 0
+        self._body_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
-        :raises UpstreamAnswerBroken: they are not a valid answer
+        :raises UpstreamAnswerBroken: they are not a valid answer, or too many
+            of them are no body
         """
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
@@ -59,6 +68,13 @@
                 self.has_stray_bytes = True
                 return
             raise UpstreamAnswerBroken(f'malformed answer: {error}') from error
+        allowed = (
+            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
+        )
+        if self._received_bytes - self._body_bytes > allowed:
+            raise UpstreamAnswerBroken(
+                f'more than {allowed} bytes of head, chunk lines and trailer'
+            )
 
     def receive_eof(self) -> None:
         """Treat the end of the connection as the end of an unsized body."""
@@ -104,6 +120,7 @@
         if not self.has_stray_bytes:
             self._pieces.append(body)
             self.buffered += len(body)
+            self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Record the end of a sized body."""
