--- a/tools/capacity/sizes.py
+++ b/tools/capacity/sizes.py
@@ -11,6 +11,7 @@
 import random
 
 from bergamotshed.routers.messages import (
+    CrashNotice,
     GossipRecord,
     Heartbeat,
     LoadVector,
@@ -18,7 +19,14 @@
     Message,
 )
 from bergamotshed.routers.options import FRAME_OVERHEAD_BYTES
+from bergamotshed.routers.partmessages import PartsAnswered
 from bergamotshed.routers.placementcodec import memory_handover_of
+from bergamotshed.routers.ratemessages import (
+    LimitRecord,
+    LimitsKnown,
+    RateAnswer,
+    RateRequest,
+)
 from bergamotshed.routers.wire import encode
 from bergamotshed.routing.memory import CachedHistory
 
@@ -27,6 +35,7 @@
 INCARNATION = 1_764_800_000_000_000
 GRANT_NUMBER = 1 << 61
 CHAT_BITS = 64
+UNIX_MS = 1_764_800_000_000
 
 
 def _frame_bytes(message: Message) -> float:
@@ -60,13 +69,45 @@
     return memory_handover_of('model-07', 3, histories)
 
 
+def _crash_notice(parts: int) -> Message:
+    rng = random.Random(parts)
+    sightings = tuple((rng.getrandbits(CHAT_BITS), 350) for _ in range(parts))
+    fingerprint = rng.getrandbits(CHAT_BITS)
+    return CrashNotice(
+        'engine-123', str(UNIX_MS), (fingerprint,), 5, parts=sightings
+    )
+
+
+def _parts_answered(parts: int) -> Message:
+    rng = random.Random(parts)
+    return PartsAnswered(
+        tuple((rng.getrandbits(CHAT_BITS), 5) for _ in range(parts))
+    )
+
+
+def _limits_known(limits: int) -> Message:
+    return LimitsKnown(
+        tuple(
+            LimitRecord(f'engine-{number:03}', UNIX_MS, 2.5, 900)
+            for number in range(limits)
+        )
+    )
+
+
 def by_entries(sizes: tuple[int, ...]) -> list[Series]:
     """Measure messages by their number of entries."""
-    request_bytes = _frame_bytes(LoadVectorRequest('model-07', 3))
+    fixed = (
+        ('load vector request', LoadVectorRequest('model-07', 3)),
+        ('rate request', RateRequest('engine-123', UNIX_MS, 2.5, 180)),
+        ('rate answer', RateAnswer(is_granted=True, wait=120)),
+    )
     rows = (
         ('load vector', 'upstreams', _load_vector),
         ('heartbeat', 'suspicions', _heartbeat),
         ('memory handover', 'chats', _memory_handover),
+        ('crash notice', 'parts', _crash_notice),
+        ('parts answered', 'parts', _parts_answered),
+        ('limits known', 'limits', _limits_known),
     )
     return [
         Series(
@@ -78,13 +119,8 @@
         )
         for name, variable, build in rows
     ] + [
-        Series(
-            'load vector request',
-            'B',
-            'none',
-            sizes,
-            (request_bytes,) * len(sizes),
-        )
+        Series(name, 'B', 'none', sizes, (_frame_bytes(message),) * len(sizes))
+        for name, message in fixed
     ]
 
 
