Follow at most 64 parts of a request

A caller may list thousands of parts in a header, and each went into every crash report and into the memory of every router. The messages of a chat had such a bound already; both programs share it now.

--- a/src/bergamotshed/dispatch/fingerprint.py
+++ b/src/bergamotshed/dispatch/fingerprint.py
@@ -13,11 +13,10 @@
 )
 
 from ..routing.hashing import stable_hash
+from ..routing.part_sightings import select_parts
 from .types import ChatCall
 
 CHARACTERS_PER_TOKEN = 4
-#: Bounds the size of a crash report.
-MAX_HASHED_MESSAGES = 64
 
 
 def chat_hash(organisation: str, chat: str) -> int:
@@ -34,17 +33,10 @@
 
 
 def message_hashes(call: ChatCall) -> tuple[int, ...]:
-    """Hash each message of a chat, equal for equal messages of any caller.
-
-    Of a long chat only the first and the last messages are hashed.
-    """
-    messages = call.messages
-    if len(messages) > MAX_HASHED_MESSAGES:
-        half = MAX_HASHED_MESSAGES // 2
-        messages = (*messages[:half], *messages[-half:])
+    """Hash the messages of a chat, equal for equal messages of any caller."""
     return tuple(
         stable_hash('message', call.model, message.role, message.content)
-        for message in messages
+        for message in select_parts(call.messages)
     )
 
 
--- a/src/bergamotshed/forwarding/crash_detector.py
+++ b/src/bergamotshed/forwarding/crash_detector.py
@@ -18,6 +18,7 @@
 from ..clock import Clock
 from ..routing.crashes import Crash
 from ..routing.hashing import stable_hash
+from ..routing.part_sightings import select_parts
 from ..routing.quarantine import FingerprintStatus, Quarantine
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.types import Instance, UpstreamNotReached
@@ -160,5 +161,8 @@
     )
     return RequestTraits(
         fingerprint,
-        tuple(stable_hash('part', part.name) for part in request.prompt_parts),
+        tuple(
+            stable_hash('part', part.name)
+            for part in select_parts(request.prompt_parts)
+        ),
     )
--- a/src/bergamotshed/routing/part_sightings.py
+++ b/src/bergamotshed/routing/part_sightings.py
@@ -6,12 +6,14 @@
 not been answered since.
 """
 
-__all__ = ('ANSWER_START', 'PartSightings')
+__all__ = ('ANSWER_START', 'PartSightings', 'select_parts')
+
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from collections.abc import Set as AbstractSet
 from datetime import timedelta
+from typing import TypeVar
 
 from ..clock import Clock
 from .crashes import Crash, CrashReport, PartSighting
@@ -19,10 +21,24 @@
 #: Time for which a crash is remembered.
 RETENTION = timedelta(hours=1)
 MAX_CRASHES = 100
+#: Parts of one request that are followed, which bounds the size of reports.
+MAX_PARTS = 64
 #: Time from the first event of an answer within which a crash may still be due
 #: to the request.
 ANSWER_START = timedelta(milliseconds=250)
 
+_T = TypeVar('_T')
+
+
+def select_parts(parts: Sequence[_T]) -> Sequence[_T]:
+    """Return the parts of a request that are followed: of many parts, the first
+    and the last ones.
+    """
+    if len(parts) <= MAX_PARTS:
+        return parts
+    half = MAX_PARTS // 2
+    return (*parts[:half], *parts[-half:])
+
 
 class PartSightings:
     """The crashes of each part.
--- a/tests/routing/test_part_quarantine.py
+++ b/tests/routing/test_part_quarantine.py
@@ -12,6 +12,7 @@
     TRIAL_DELAY_FACTOR,
     PartQuarantine,
 )
+from bergamotshed.routing.part_sightings import MAX_PARTS, select_parts
 
 SECOND = timedelta(seconds=1)
 SHORTLY = timedelta(milliseconds=200)
@@ -197,3 +198,10 @@
     history.clock.advance(timedelta(hours=2))
     assert not history.quarantine.blames({9})
     assert history.quarantine.reports() == ()
+
+
+@pytest.mark.parametrize('count', [0, 1, MAX_PARTS, MAX_PARTS + 1, 5000])
+def test_of_many_parts_the_first_and_last_are_followed(count: int) -> None:
+    selected = select_parts(range(count))
+    assert len(selected) == min(count, MAX_PARTS)
+    assert not count or {0, count - 1} <= set(selected)
