--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -8,6 +8,7 @@
 
 __all__ = ('UpstreamSelector',)
 
+import asyncio
 from dataclasses import replace
 from datetime import timedelta
 
@@ -45,12 +46,21 @@
             placed = await self._choose_unblocked(attempts)
             if isinstance(placed, Refusal):
                 return await self._wait_for_rate(attempts) or placed
-            rates = self._dependencies.rates
-            if await rates.acquire(placed.instance, NO_WAIT):
+            if await self._is_permitted(placed):
                 return placed
             self.release_slot(placed, None)
         return Refusal(Reason.OVERLOADED, ALL_BUSY_RETRY_AFTER)
 
+    async def _is_permitted(self, placed: PlacedUpstream) -> bool:
+        """Return whether the upstream's limit allows a request now."""
+        try:
+            return await self._dependencies.rates.acquire(
+                placed.instance, NO_WAIT
+            )
+        except asyncio.CancelledError:
+            self.release_slot(placed, None)
+            raise
+
     async def _choose_unblocked(
         self, attempts: RequestAttempts
     ) -> PlacedUpstream | Refusal:
