Judge only the parts that a crash report or an answer concerns

Each report judged all parts that were ever at a crash, and an export went over all of them for each crash.

The judgement is the same but for one case: a report that tells that a crash was noticed a little earlier no longer judges the other parts of that crash anew.

--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -23,7 +23,11 @@
 )
 from .dialect import Dialect
 from .events import EventSplitter, EventStreamError
-from .outcome import AttemptOutcome, AttemptResult
+from .outcome import (
+    HTTP_MULTIPLE_CHOICES,
+    AttemptOutcome,
+    AttemptResult,
+)
 from .types import (
     AnswerMetadata,
     AnswerSink,
@@ -39,7 +43,6 @@
 MAX_BUFFERED_BYTES = 262_144
 
 HTTP_OK = 200
-HTTP_MULTIPLE_CHOICES = 300
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
 
--- a/src/bergamotshed/forwarding/outcome.py
+++ b/src/bergamotshed/forwarding/outcome.py
@@ -5,7 +5,12 @@
 How an attempt at an upstream ended, and whether it may be retried.
 """
 
-__all__ = ('AttemptOutcome', 'AttemptResult', 'can_retry')
+__all__ = (
+    'HTTP_MULTIPLE_CHOICES',
+    'AttemptOutcome',
+    'AttemptResult',
+    'can_retry',
+)
 
 from dataclasses import dataclass
 from enum import Enum
--- a/src/bergamotshed/routing/part_quarantine.py
+++ b/src/bergamotshed/routing/part_quarantine.py
@@ -61,7 +61,7 @@
     def suspects(self) -> frozenset[int]:
         """Return the parts that may have caused all their crashes."""
         if self._sightings.expire():
-            self._update()
+            self._update(self._suspects)
         return self._suspects
 
     def crash_count(self, part: int) -> int:
@@ -75,7 +75,7 @@
     def record_crash(self, report: CrashReport) -> bool:
         """Add the parts of a report; return whether any was new."""
         is_new = self._sightings.add(report)
-        self._update()
+        self._update(sighting.part for sighting in report.parts)
         return is_new
 
     def record_answer(self, parts: Iterable[int], answered_at: float) -> None:
@@ -103,8 +103,7 @@
             if last_cleared is not None:
                 cleared[part] = last_cleared
                 self._trials.pop(part, None)
-        if cleared:
-            self._update()
+        self._update(cleared)
         return cleared
 
     def blames(self, parts: Iterable[int]) -> bool:
@@ -157,10 +156,11 @@
         is_due = self._clock.monotonic() >= last_run_at + delay_s
         return is_due and self._is_home(part)
 
-    def _update(self) -> None:
-        self._suspects = frozenset(
-            part for part in self._sightings.parts if self._is_suspect(part)
-        )
+    def _update(self, parts: Iterable[int]) -> None:
+        """Judge the parts whose crashes have changed."""
+        judged = {part: self._is_suspect(part) for part in parts}
+        new = {part for part, is_suspect in judged.items() if is_suspect}
+        self._suspects = (self._suspects - judged.keys()) | new
 
     def _is_suspect(self, part: int) -> bool:
         """Return whether a part was at too many crashes.
--- a/src/bergamotshed/routing/part_sightings.py
+++ b/src/bergamotshed/routing/part_sightings.py
@@ -141,22 +141,19 @@
     def reports(self) -> tuple[CrashReport, ...]:
         """Return a report of each crash that some part is not cleared of."""
         now = self._clock.monotonic()
-        reports = (
+        sightings: defaultdict[Crash, list[PartSighting]] = defaultdict(list)
+        for part, sent_at in self._sent_at.items():
+            for crash, last_sent_at in sent_at.items():
+                sent_age = timedelta(seconds=now - last_sent_at)
+                sightings[crash].append(PartSighting(part, sent_age))
+        return tuple(
             CrashReport(
-                crash,
+                noticed,
                 (),
-                timedelta(seconds=now - noticed_at),
-                parts=self._sightings(crash, now),
+                timedelta(seconds=now - self._noticed_at[noticed]),
+                parts=tuple(parts),
             )
-            for crash, noticed_at in self._noticed_at.items()
-        )
-        return tuple(report for report in reports if report.parts)
-
-    def _sightings(self, crash: Crash, now: float) -> tuple[PartSighting, ...]:
-        return tuple(
-            PartSighting(part, timedelta(seconds=now - sent_at[crash]))
-            for part, sent_at in self._sent_at.items()
-            if crash in sent_at
+            for noticed, parts in sightings.items()
         )
 
     def _drop(self, crash: Crash) -> None:
