Log the version of each attempt's upstream and what the caller resumes

The logs could not tell whether streams change their version over a caller's tries or within one exchange. request.attempt now has the upstream's version, the attempt that the caller resumes and the event after which; upstream.listed has the version.

--- a/src/bergamotshed/forwarding/types.py
+++ b/src/bergamotshed/forwarding/types.py
@@ -52,6 +52,8 @@
     :ivar output_tokens: maximum number of tokens of the answer
     :ivar last_event_id: id of the last event that the caller has of a stream;
         the answer resumes after it
+    :ivar resumed_attempt: id of the attempt that brought the first event of
+        the stream that it resumes; ``None`` if not stated
     :ivar arrived_at: when the request arrived, in monotonic seconds
     """
 
@@ -68,6 +70,7 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
     last_event_id: str | None = None
+    resumed_attempt: str | None = None
 
     @property
     def path(self) -> str:
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -72,26 +72,26 @@
     ) -> RoutedRequest:
         """Read a caller's request; see :meth:`Dialect.read_request`."""
         by_name = headers_by_name(headers)
-        attempt = by_name.get(names.ATTEMPT, b'')
-        if not attempt:
+        texts = {
+            name: value.decode('latin-1') for name, value in by_name.items()
+        }
+        if not texts.get(names.ATTEMPT):
             raise RequestMalformed('the attempt id is missing')
-        last_event_id = by_name.get(LAST_EVENT)
         return RoutedRequest(
-            attempt_id=attempt.decode('latin-1'),
+            attempt_id=texts[names.ATTEMPT],
             method=method,
             target=target,
-            host=by_name.get(b'host', b'').decode('latin-1'),
+            host=texts.get(b'host', ''),
             headers=_forwarded_headers(headers, by_name),
             body=body,
             arrived_at=arrived_at,
             api_key=_api_key(by_name.get(b'authorization', b'')),
             time_allowed=_parse_deadline(by_name.get(names.DEADLINE)),
-            model=by_name.get(names.MODEL, b'').decode('latin-1'),
-            prompt_parts=_parse_prompt(by_name.get(names.PROMPT, b'')),
+            model=texts.get(names.MODEL, ''),
+            prompt_parts=_parse_prompt(texts.get(names.PROMPT, '')),
             output_tokens=_parse_output_tokens(by_name.get(names.TOKENS, b'')),
-            last_event_id=None
-            if last_event_id is None
-            else last_event_id.decode('latin-1'),
+            last_event_id=texts.get(LAST_EVENT),
+            resumed_attempt=texts.get(names.RESUMED_ATTEMPT),
         )
 
     def write_request(
@@ -123,7 +123,7 @@
             delimitation=head.delimitation,
             keep_alive_s=parse_keep_alive(by_name),
             load=_parse_load(by_name.get(names.LOAD, b'')),
-            max_rate=_parse_rate(by_name.get(names.REQUEST_RATE, b'')),
+            max_rate=_parse_number(by_name.get(names.REQUEST_RATE, b'')),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
                 for name, value in head.headers
@@ -183,18 +183,15 @@
 def _parse_deadline(value: bytes | None) -> timedelta | None:
     if value is None:
         return None
-    try:
-        count = float(value)
-    except ValueError as error:
-        raise RequestMalformed(f'deadline {value!r} is no number') from error
-    if not 0 <= count < float('inf'):
-        raise RequestMalformed(f'deadline {value!r} is out of range')
+    count = _parse_number(value)
+    if count is None:
+        raise RequestMalformed(f'deadline {value!r} is no number of ms')
     return min(count, MAX_DEADLINE_MS) * MILLISECOND
 
 
-def _parse_prompt(value: bytes) -> tuple[PromptPart, ...]:
+def _parse_prompt(value: str) -> tuple[PromptPart, ...]:
     parts = []
-    for entry in value.decode('latin-1').split(','):
+    for entry in value.split(','):
         name, _, tokens = entry.strip().partition(':')
         if name and tokens.isdecimal():
             parts.append(PromptPart(name, int(tokens)))
@@ -214,9 +211,9 @@
     return ReportedLoad(running, waiting, slots)
 
 
-def _parse_rate(value: bytes) -> float | None:
+def _parse_number(value: bytes) -> float | None:
     try:
-        rate = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return rate if 0 <= rate < float('inf') else None
+    return number if 0 <= number < float('inf') else None
--- a/src/bergamotshed/platform/instances.py
+++ b/src/bergamotshed/platform/instances.py
@@ -71,4 +71,5 @@
             born=body.born,
             sequence=body.sequence,
             models=frozenset(model.name for model in body.models),
+            version=body.version,
         )
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -22,6 +22,7 @@
     'PRIORITY',
     'PROMPT',
     'REQUEST_RATE',
+    'RESUMED_ATTEMPT',
     'SEAL',
     'SETTINGS_VARIABLE',
     'TOKENS',
@@ -60,6 +61,8 @@
 #: Remaining time in milliseconds, not a point in time.
 DEADLINE = b'bergamotshed-deadline-ms'
 OUTPUT_HINT = b'bergamotshed-length-hint'
+#: Id of the attempt that brought the first event of the stream to resume.
+RESUMED_ATTEMPT = b'resumes'
 
 #: Headers that routers set:
 INSTANCE_EXPECTED = b'bergamotshed-expect-instance'
--- a/src/bergamotshed/upstreams/registry.py
+++ b/src/bergamotshed/upstreams/registry.py
@@ -110,6 +110,7 @@
                 upstream=instance.name,
                 service=instance.service,
                 address=instance.address,
+                version=instance.version,
                 leaving=instance.leaving,
                 born=instance.born,
                 sequence=instance.sequence,
--- a/src/bergamotshed/upstreams/types.py
+++ b/src/bergamotshed/upstreams/types.py
@@ -55,6 +55,7 @@
     :ivar born: Unix time of its start in milliseconds, as it reports it
     :ivar sequence: increases with each report of this lifetime
     :ivar models: names of the models that it serves; empty if unknown
+    :ivar version: version of its software; empty if unknown
     """
 
     name: str
@@ -66,6 +67,7 @@
     born: int = 0
     sequence: int = 0
     models: frozenset[str] = frozenset()
+    version: str = ''
 
     @property
     def incarnation(self) -> 'Incarnation':
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -47,13 +47,14 @@
         (b'Bergamotshed-Deadline-Ms', b'2500'),
         (b'Authorization', b'Bearer key'),
         (b'Last-Event-Id', b'4'),
+        (b'Resumes', b'a0'),
     )
     assert request.shared_parts == ('5c', '91')
     assert request.prompt_parts[0] == PromptPart('5c', 800)
     assert (request.input_tokens, request.output_tokens) == (1460, 80)
     assert request.time_allowed == timedelta(milliseconds=2500)
     assert (request.api_key, request.model) == ('key', 'm')
-    assert request.last_event_id == '4'
+    assert (request.last_event_id, request.resumed_attempt) == ('4', 'a0')
 
 
 @pytest.mark.parametrize(
