Resume a stream only at the software version that began it

Cause: a router chose the upstream of a resumption like that of a new request. No code compared versions: the attempt that a caller names in Resumes was not read, the version of an upstream was decoded and dropped, and no message between routers had it. An upstream that returns under another name at the same address was ruled out: it answers 421 to the expected name.

- The version of the upstream whose events are passed on first is the stream's origin.
Later attempts of the request go to that version, or the answer is broken off.
- The origin is sent to three other routers before the event is passed on.
A router that does not know an origin asks up to six; a stream whose origin nobody knows is refused at once, with a time to come back only if a router did not answer.
- A route that is split over services resumes a stream at the service that began it.
- Callers that name no attempt, and streams of an unknown origin, go on if the service has had a single version: now for the former, for two minutes for the latter, which is longer than streams last.

--- a/src/bergamotshed/forwarding/answer_observer.py
+++ b/src/bergamotshed/forwarding/answer_observer.py
@@ -8,6 +8,7 @@
 __all__ = ('AnswerObserver',)
 
 from ..routing.prompt_readers import SharedPromptReaders
+from ..routing.stream_origins import SharedStreamOrigins, StreamOrigin
 from ..routing.types import SharedRates
 from ..routing.upstream_loads import UpstreamLoads
 from ..upstreams.types import Instance, ReportedLoad
@@ -17,7 +18,14 @@
 
 
 class AnswerObserver(ExchangeObserver):
-    """Records loads, limits, prompts that were read, and first events."""
+    """Records loads, limits, prompts that were read, and first events.
+
+    :param origins: gets the origin of the stream; ``None`` if no caller may
+        resume it
+    :param begun: origin of the stream that the request resumes, if any
+    :ivar origin: where the caller's stream began; ``None`` before its first
+        event
+    """
 
     def __init__(
         self,
@@ -26,7 +34,11 @@
         prompts: SharedPromptReaders,
         rates: SharedRates,
         watch: CrashWatch,
+        origins: SharedStreamOrigins | None,
+        begun: StreamOrigin | None,
     ) -> None:
+        self.origin = begun
+        self._origins = origins
         self._rates = rates
         self._sent_at = float('-inf')
         self._request = request
@@ -59,6 +71,10 @@
             self._request.shared_parts, instance.incarnation
         )
 
-    def record_event(self) -> None:
-        """Record that the upstream has sent an event."""
+    def record_events(self, instance: Instance) -> None:
+        """Record that the upstream has sent events."""
         self._watch.record_event()
+        if self.origin is None:
+            self.origin = StreamOrigin(instance.service, instance.version)
+            if self._origins is not None:
+                self._origins.record(self._request.attempt_id, self.origin)
--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -19,6 +19,7 @@
 from ..routing.affinity import AffinityPlacer, PlacedUpstream, PlacementQuery
 from ..routing.fleet_retry_budget import FleetRetryBudget
 from ..routing.prompt_readers import SharedPromptReaders
+from ..routing.stream_origins import SharedStreamOrigins, StreamOrigin
 from ..routing.types import PlacementRequest, SharedRates, SharedSlots
 from ..routing.upstream_loads import ExchangeOutcome, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
@@ -69,6 +70,7 @@
     placer: AffinityPlacer
     loads: UpstreamLoads
     prompts: SharedPromptReaders
+    origins: SharedStreamOrigins
     slots: SharedSlots
     rates: SharedRates
     retries: FleetRetryBudget
@@ -80,6 +82,8 @@
 class RequestAttempts:
     """Makes the attempts of one request and records their results.
 
+    :param begun: origin of the stream that the request resumes, if any
+
     :ivar relay: passes the answer on and records what the caller received
     :ivar watch: examines answers that break off for crashes
     :ivar failure: the last upstream's answer, if that was a failure; the caller
@@ -92,6 +96,7 @@
         request: RoutedRequest,
         admitted: AdmittedRequest,
         sink: AnswerSink,
+        begun: StreamOrigin | None = None,
     ) -> None:
         last_event_id = request.last_event_id or ''
         self.relay = AnswerRelay(
@@ -107,6 +112,8 @@
             dependencies.prompts,
             dependencies.rates,
             self.watch,
+            dependencies.origins if _is_resumable(admitted) else None,
+            begun,
         )
         self._dependencies = dependencies
         self._request = request
@@ -130,6 +137,7 @@
     @property
     def query(self) -> PlacementQuery:
         """Return the query that chooses the next upstream."""
+        origin = self._observer.origin
         return PlacementQuery(
             self._admitted.service,
             self._request.model,
@@ -138,6 +146,7 @@
             self._dependencies.rates.barred(
                 self._dependencies.registry.members(self._admitted.service)
             ),
+            None if origin is None else origin.version,
         )
 
     @property
@@ -308,6 +317,10 @@
         )
 
 
+def _is_resumable(admitted: AdmittedRequest) -> bool:
+    return admitted.route.repeatability is Repeatability.RESUMABLE
+
+
 def _logged_parts(request: RoutedRequest, result: AttemptResult) -> list[str]:
     """Return the parts of the prompt if the upstream may have crashed."""
     if result.outcome is not AttemptOutcome.BROKEN:
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -100,8 +100,8 @@
         """Record that an upstream has read the prompt and started to answer."""
 
     @abstractmethod
-    def record_event(self) -> None:
-        """Record that whole events of the answer have arrived."""
+    def record_events(self, instance: Instance) -> None:
+        """Record that whole events have arrived, before they are passed on."""
 
 
 class Exchange:
@@ -202,16 +202,21 @@
             self._observer.record_limit(instance, self.answer_metadata.max_rate)
         if _is_success(self.answer_metadata):
             self._observer.record_start(instance)
-        return await self._read_answer(connection, self.answer_metadata)
+        return await self._read_answer(
+            connection, instance, self.answer_metadata
+        )
 
     async def _read_answer(
-        self, connection: UpstreamConnection, metadata: AnswerMetadata
+        self,
+        connection: UpstreamConnection,
+        instance: Instance,
+        metadata: AnswerMetadata,
     ) -> AttemptResult:
         try:
             if metadata.did_not_run or metadata.status == HTTP_MISDIRECTED:
                 return await _read_refusal(connection, metadata)
             if metadata.is_event_stream and _is_success(metadata):
-                return await self._relay_events(connection, metadata)
+                return await self._relay_events(connection, instance, metadata)
             return await self._read_plain(connection, metadata)
         except (UpstreamAnswerBroken, EventStreamError) as error:
             return self._broken_result(str(error))
@@ -234,13 +239,16 @@
         return ''
 
     async def _relay_events(
-        self, connection: UpstreamConnection, metadata: AnswerMetadata
+        self,
+        connection: UpstreamConnection,
+        instance: Instance,
+        metadata: AnswerMetadata,
     ) -> AttemptResult:
         relay = self._relay
         while piece := await connection.read_part():
             events = relay.splitter.feed(piece)
             if events:
-                self._observer.record_event()
+                self._observer.record_events(instance)
                 await relay.send(metadata, events)
         if self._lacks_events(metadata):
             return self._broken_result(
--- a/src/bergamotshed/forwarding/forwarder.py
+++ b/src/bergamotshed/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from .attempts import ForwardingDependencies, RequestAttempts
 from .outcome import AttemptOutcome, AttemptResult
 from .request_admission import AdmittedRequest
+from .stream_resumption import StreamResumption, admitted_at_origin
 from .types import (
     AnswerSink,
     RoutedRequest,
@@ -49,6 +50,11 @@
     def __init__(self, dependencies: ForwardingDependencies) -> None:
         self._dependencies = dependencies
         self._selector = UpstreamSelector(dependencies)
+        self._resumption = StreamResumption(
+            dependencies.origins,
+            dependencies.registry.versions,
+            dependencies.clock,
+        )
 
     async def forward(
         self, request: RoutedRequest, sink: AnswerSink
@@ -60,8 +66,14 @@
         admitted = await self._dependencies.admission.admit_confirmed(request)
         if isinstance(admitted, Refusal):
             return admitted
+        origin = await self._resumption.find_origin(request, admitted)
+        if isinstance(origin, Refusal):
+            return origin
+        admitted = admitted_at_origin(admitted, origin)
         self._dependencies.retries.record_request(admitted.service)
-        attempts = RequestAttempts(self._dependencies, request, admitted, sink)
+        attempts = RequestAttempts(
+            self._dependencies, request, admitted, sink, origin
+        )
         remaining_s = admitted.deadline - self._dependencies.clock.monotonic()
         try:
             async with asyncio.timeout(remaining_s):
--- /dev/null
+++ b/src/bergamotshed/forwarding/stream_resumption.py
@@ -0,0 +1,125 @@
+"""
+bergamotshed.forwarding.stream_resumption
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Finds out where a stream that a caller resumes may go on.
+"""
+
+__all__ = ('StreamResumption', 'admitted_at_origin')
+
+import math
+import random
+from dataclasses import replace
+
+from eliot import log_message
+
+from ..clock import Clock
+from ..reasons import Reason, Refusal
+from ..routes.types import Repeatability
+from ..routing.stream_origins import (
+    STREAM_LIFETIME,
+    OriginUnknown,
+    SharedStreamOrigins,
+    StreamOrigin,
+)
+from ..upstreams.version_history import VersionHistory
+from .request_admission import OTHER_ROUTER_RETRY_AFTER, AdmittedRequest
+from .types import RoutedRequest
+
+#: Age of the list of upstreams, in seconds, up to which it has each version.
+MAX_LIST_AGE_S = 2
+
+
+class StreamResumption:
+    """Looks up the version that began a stream."""
+
+    def __init__(
+        self,
+        origins: SharedStreamOrigins,
+        versions: VersionHistory,
+        clock: Clock,
+    ) -> None:
+        self._origins = origins
+        self._versions = versions
+        self._clock = clock
+
+    async def find_origin(
+        self, request: RoutedRequest, admitted: AdmittedRequest
+    ) -> StreamOrigin | Refusal | None:
+        """Return where the stream began, or why it can't go on.
+
+        :return: ``None`` if the request begins a stream or is no stream
+        """
+        if (
+            request.last_event_id is None
+            or admitted.route.repeatability is not Repeatability.RESUMABLE
+        ):
+            return None
+        origin = await self._look_up(request, admitted.service)
+        if isinstance(origin, OriginUnknown):
+            return _refusal(origin)
+        services = {share.service for share in admitted.route.services}
+        if origin.service not in services:
+            return Refusal(
+                Reason.ORIGIN_GONE,
+                detail=f'the route no longer leads to {origin.service}',
+            )
+        return origin
+
+    async def _look_up(
+        self, request: RoutedRequest, service: str
+    ) -> StreamOrigin | OriginUnknown:
+        versions = self._versions.recent_versions(service, STREAM_LIFETIME)
+        only = StreamOrigin(service, *versions) if len(versions) == 1 else None
+        if request.resumed_attempt is None:
+            return only or OriginUnknown.NOT_FOUND
+        origin = await self._origins.find(request.resumed_attempt)
+        if isinstance(origin, OriginUnknown):
+            log_message(
+                'stream.origin_unknown',
+                request=request.attempt_id,
+                resumed_attempt=request.resumed_attempt,
+                detail=origin.value,
+                versions=sorted(versions),
+                list_age=self._list_age,
+            )
+            if only is not None and self._knows_all_versions:
+                return only
+        return origin
+
+    @property
+    def _list_age(self) -> float | None:
+        age = self._clock.boottime() - self._versions.confirmed_at
+        return round(age, 3) if math.isfinite(age) else None
+
+    @property
+    def _knows_all_versions(self) -> bool:
+        """Return whether no stream can be of a version that this router has
+        not seen.
+        """
+        now = self._clock.boottime()
+        followed_s = now - self._versions.followed_since
+        return (
+            followed_s > STREAM_LIFETIME.total_seconds()
+            and now - self._versions.confirmed_at < MAX_LIST_AGE_S
+        )
+
+
+def admitted_at_origin(
+    admitted: AdmittedRequest, origin: StreamOrigin | None
+) -> AdmittedRequest:
+    """Return a request with the service at which its stream began."""
+    if origin is None:
+        return admitted
+    return replace(admitted, service=origin.service)
+
+
+def _refusal(unknown: OriginUnknown) -> Refusal:
+    retry_after = None
+    if unknown is OriginUnknown.UNANSWERED:
+        retry_after = OTHER_ROUTER_RETRY_AFTER * random.uniform(1, 2)
+    return Refusal(
+        Reason.ORIGIN_UNKNOWN,
+        retry_after,
+        'the version that began the stream is not known',
+    )
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -105,6 +105,7 @@
             member.name: dependencies.rates.time_blocked(member)
             for member in dependencies.registry.members(query.service)
             if member.name in query.barred - query.tried
+            and query.allows(member)
         }
         if not blocked:
             return None
@@ -161,8 +162,9 @@
     ) -> frozenset[str] | None:
         """Return the upstreams to avoid; ``None`` if no other is left.
 
-        These are the upstreams that were tried, those at their limits and the
-        ejected ones; the latter only if there are others.
+        These are the upstreams that were tried, those at their limits, those
+        that can't run it and the ejected ones; the last only if there are
+        others.
         """
         query = attempts.query
         members = self._dependencies.registry.members(query.service)
@@ -172,7 +174,8 @@
             for member in members
             if self._dependencies.loads.is_ejected(member)
         }
-        closed = query.tried | query.barred
+        unfit = {member.name for member in members if not query.allows(member)}
+        closed = query.tried | query.barred | unfit
         for unusable in (closed | failing, closed):
             if names - unusable:
                 return frozenset(unusable)
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -38,9 +38,7 @@
 from ..routers.crashparts import build_crash_parts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
 from ..routers.mesh import PeerMesh
-from ..routers.prompthomes import PromptHomes
-from ..routers.ratehomes import RateHomes
-from ..routers.slothomes import SlotHomes
+from ..routers.sharedstate import build_shared_state
 from ..routers.storerelay import StoreRelay
 from ..routers.suspectstore import SuspectStore
 from ..routes.current_table import CurrentRoutingTable
@@ -197,9 +195,9 @@
             CRASH_RETENTION,
         ),
         heartbeats=heartbeats,
-        prompts=PromptHomes(entry.name, mesh, heartbeats.live_routers, clock),
-        rates=RateHomes(entry.name, mesh, notices, heartbeats, clock),
-        slots=SlotHomes(entry.name, mesh, heartbeats, registry, clock),
+        shared=build_shared_state(
+            entry.name, heartbeats, notices, roster, registry, clock
+        ),
         followers=build_followers(
             topic_consumers(settings, routing, registry, roster),
             StoreRelay(
@@ -269,15 +267,16 @@
         placer=AffinityPlacer(
             fleet.registry,
             loads,
-            CacheSources(fleet.registry, loads, fleet.prompts.memory),
+            CacheSources(fleet.registry, loads, fleet.shared.prompts.memory),
             lambda service: _max_in_flight(fleet, service),
             live.current.node.domain,
             rng.random,
         ),
         loads=loads,
-        prompts=fleet.prompts,
-        slots=fleet.slots,
-        rates=fleet.rates,
+        prompts=fleet.shared.prompts,
+        origins=fleet.shared.origins,
+        slots=fleet.shared.slots,
+        rates=fleet.shared.rates,
         retries=FleetRetryBudget(
             lambda: _retry_options(live.current),
             fleet.roster.count,
--- a/src/bergamotshed/gateway/inspection.py
+++ b/src/bergamotshed/gateway/inspection.py
@@ -192,11 +192,11 @@
 def _slot_states(gateway: Gateway) -> dict[str, SlotState]:
     return {
         service: SlotState(home.in_flight, home.waiting)
-        for service, home in gateway.fleet.slots.homes.items()
+        for service, home in gateway.fleet.shared.slots.homes.items()
     }
 
 
 def _prompt_counts(gateway: Gateway) -> dict[str, int]:
     """Return the number of known subjects and of those with a home here."""
-    prompts = gateway.fleet.prompts
+    prompts = gateway.fleet.shared.prompts
     return {'known': len(prompts.memory), 'home_of': prompts.home_subject_count}
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -23,9 +23,7 @@
 from ..roster.roster import Roster
 from ..routers.crashparts import CrashParts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
-from ..routers.prompthomes import PromptHomes
-from ..routers.ratehomes import RateHomes
-from ..routers.slothomes import SlotHomes
+from ..routers.sharedstate import SharedState
 from ..routes.current_table import CurrentRoutingTable
 from ..store.follower import TopicFollower
 from ..store.health import StoreHealth
@@ -50,9 +48,7 @@
     roster: Roster
     crashes: CrashParts
     heartbeats: GatewayHeartbeats
-    prompts: PromptHomes
-    slots: SlotHomes
-    rates: RateHomes
+    shared: SharedState
     followers: dict[Topic, TopicFollower]
 
 
@@ -125,7 +121,7 @@
         """Ask peers for the limits of upstreams, which this router would
         exceed until it has heard them itself.
         """
-        await self.fleet.rates.fetch()
+        await self.fleet.shared.rates.fetch()
 
     def entry_addresses(self) -> list[str]:
         """Return the addresses where callers may connect."""
@@ -137,10 +133,10 @@
     def run_maintenance(self) -> None:
         """Drop unused connections and counters and apply new limits."""
         self.forwarding.pool.sweep()
-        self.fleet.slots.release_silent_routers()
+        self.fleet.shared.slots.release_silent_routers()
         instances = list(self.fleet.registry.instances.values())
         self.forwarding.loads.forget_unlisted(instances)
-        self.fleet.rates.known.forget_unlisted(
+        self.fleet.shared.rates.known.forget_unlisted(
             instance.incarnation for instance in instances
         )
         table = self.fleet.routing.table
--- a/src/bergamotshed/reasons.py
+++ b/src/bergamotshed/reasons.py
@@ -39,6 +39,8 @@
     ENGINE_UNREACHED = 'engine_unreached'
     ENGINE_BROKEN = 'engine_broken'
     ENGINE_SILENT = 'engine_silent'
+    ORIGIN_GONE = 'origin_gone'
+    ORIGIN_UNKNOWN = 'origin_unknown'
     STOPPING = 'stopping'
     BAD_REQUEST = 'bad_request'
     BROKEN = 'broken'
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -38,6 +38,7 @@
     ClaimEndConfirmed,
     ClaimRequest,
 )
+from .originmessages import OriginAnswer, OriginRequest, StreamBegun
 from .partmessages import PartsAnswered
 from .promptmessages import PromptRead, ReadersAnswer, ReadersRequest
 from .ratemessages import (
@@ -292,4 +293,7 @@
     | ChangesRequest
     | ChangesAnswer
     | ReadersRequest
+    | StreamBegun
+    | OriginRequest
+    | OriginAnswer
 )
--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -42,6 +42,7 @@
         other requests; the last one is the subject
     :ivar tried: names of the upstreams that it was already sent to
     :ivar barred: names of the upstreams that take no request now
+    :ivar version: the only software version that may run it; ``None`` for any
     """
 
     service: str
@@ -49,6 +50,17 @@
     shared_parts: tuple[str, ...] = ()
     tried: frozenset[str] = frozenset()
     barred: frozenset[str] = frozenset()
+    version: str | None = None
+
+    def allows(self, instance: Instance) -> bool:
+        """Return whether an upstream's version and models may run it."""
+        if self.version is not None and instance.version != self.version:
+            return False
+        return (
+            not instance.models
+            or not self.model
+            or self.model in instance.models
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,9 +114,7 @@
         listed = [
             instance
             for instance in self._listed.members(query.service)
-            if not instance.models
-            or not query.model
-            or query.model in instance.models
+            if query.allows(instance)
         ]
         untried = [
             instance for instance in listed if instance.name not in query.tried
@@ -113,7 +123,8 @@
             return Refusal(
                 Reason.NO_ENGINE,
                 NO_UPSTREAM_RETRY_AFTER,
-                f'{len(listed)} upstreams listed, none untried',
+                f'{len(listed)} upstreams listed{_of_version(query)}, '
+                'none untried',
             )
         limit = self._max_in_flight(query.service)
         available = [
@@ -193,3 +204,7 @@
     def _load_order(self, instance: Instance) -> tuple[float, bool, float]:
         load = self._loads.estimate_load(instance) / instance.slots
         return (load, instance.domain != self._domain, self._random())
+
+
+def _of_version(query: PlacementQuery) -> str:
+    return '' if query.version is None else f' of version {query.version!r}'
--- a/src/bergamotshed/upstreams/registry.py
+++ b/src/bergamotshed/upstreams/registry.py
@@ -18,6 +18,7 @@
 from ..store.health import RETURN_WINDOW, StoreHealth
 from ..store.types import Entry, TopicConsumer
 from .types import Instance
+from .version_history import VersionHistory
 
 #: Maximum number of removed upstreams whose last report is kept, and of names
 #: of malformed entries that are logged.
@@ -40,7 +41,10 @@
 
 
 class UpstreamRegistry(TopicConsumer):
-    """Tracks the listed upstreams and which of them accept new requests."""
+    """Tracks the listed upstreams and which of them accept new requests.
+
+    :ivar versions: the versions that the upstreams have, or had lately
+    """
 
     def __init__(
         self, decoder: InstanceDecoder, health: StoreHealth, clock: Clock
@@ -48,6 +52,7 @@
         self._decoder = decoder
         self._health = health
         self._clock = clock
+        self.versions = VersionHistory(clock)
         self._instances: dict[str, Instance] = {}
         self._removed_reports: dict[str, tuple[int, int]] = {}
         self._return_deadlines: dict[str, float] = {}
@@ -82,10 +87,12 @@
         for name in self._instances.keys() - listed:
             self._remove(name)
         self._apply(entries)
+        self.versions.confirm(sent_at)
 
     def apply_changes(self, entries: Sequence[Entry], sent_at: float) -> None:
         """Apply reports and removals in order."""
         self._apply(entries)
+        self.versions.confirm(sent_at)
 
     def _apply(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
@@ -169,6 +176,7 @@
             log_message('upstream.malformed', upstream=name, detail=detail)
 
     def _rebuild(self) -> None:
+        self.versions.update(self._instances.values())
         members: dict[str, list[Instance]] = {}
         names: dict[str, list[str]] = {}
         for instance in self._instances.values():
--- a/tests/forwarding/broken_peer.py
+++ b/tests/forwarding/broken_peer.py
@@ -179,5 +179,5 @@
     def record_start(self, instance: Instance) -> None:
         """Ignore the start."""
 
-    def record_event(self) -> None:
+    def record_events(self, instance: Instance) -> None:
         """Ignore the event."""
--- a/tests/gateway/test_prompts.py
+++ b/tests/gateway/test_prompts.py
@@ -29,7 +29,7 @@
         sending = asyncio.create_task(
             send_request(setup.port, '/stream/a', headers=PROMPT)
         )
-        memory = setup.gateway.fleet.prompts.memory
+        memory = setup.gateway.fleet.shared.prompts.memory
         await until(lambda: memory.readers('b2') == [('i-0', 1)])
         assert not sending.done()
         sending.cancel()
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -43,7 +43,7 @@
 
 
 def slots_in_use(setup: GatewayEnvironment) -> int:
-    homes = setup.gateway.fleet.slots.homes.values()
+    homes = setup.gateway.fleet.shared.slots.homes.values()
     return sum(sum(home.in_flight.values()) for home in homes)
 
 
