Soak: upstreams of two versions, callers that resume streams at any router

Half of the upstreams are of another version, and one that left may come back at its address with the other one. Callers take up a stream that broke off and name the attempt that began it. The judge finds streams that go on at another version, which its own test shows.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,7 +6,7 @@
 its response.
 """
 
-__all__ = ('CallRecord', 'Caller')
+__all__ = ('CallRecord', 'Caller', 'Resumption')
 
 import asyncio
 import random
@@ -23,12 +23,24 @@
 MAX_PAUSE_S = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class Resumption:
+    """A stream that broke off.
+
+    :ivar begun_as: the attempt that brought its first event
+    """
+
+    begun_as: str
+    next_event: int
+
+
 @dataclass(frozen=True, slots=True)
 class CallRecord:
     """One request and its response.
 
     :ivar route: name of the route that it was sent to
     :ivar sent_at: monotonic time in seconds
+    :ivar resumed: the stream that it resumes
     """
 
     attempt_id: str
@@ -38,6 +50,13 @@
     sent_at: float
     duration_s: float
     response: RawResponse
+    resumed: Resumption | None = None
+
+    @property
+    def next_event(self) -> int:
+        """Return the number of the first event that is still missing."""
+        first = 0 if self.resumed is None else self.resumed.next_event
+        return first + self.response.body.count(b'id:')
 
 
 class Caller:
@@ -58,6 +77,7 @@
         self._rng = rng
         self._records = records
         self._sent_count = 0
+        self._resumed: Resumption | None = None
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -74,18 +94,29 @@
         """Send one request; return ``None`` if the connection failed."""
         self._sent_count += 1
         attempt_id = f'{self._name}.{self._sent_count}'
-        route = self._rng.choice(ROUTES)
+        resumed, self._resumed = self._resumed, None
+        route = 'resumed' if resumed else self._rng.choice(ROUTES)
         target = f'/{route}/{self._rng.randrange(5)}?n={self._sent_count}'
         key = self._rng.choice(self._fleet.keys)
         if not await self._connect():
             return None
         sent_at = time.monotonic()
-        response = await self._send_request(attempt_id, target, key)
+        response = await self._send_request(attempt_id, target, key, resumed)
         duration_s = time.monotonic() - sent_at
         record = CallRecord(
-            attempt_id, route, target, key, sent_at, duration_s, response
+            attempt_id,
+            route,
+            target,
+            key,
+            sent_at,
+            duration_s,
+            response,
+            resumed,
         )
         self._records.append(record)
+        if route == 'resumed' and response.cut and record.next_event:
+            begun_as = resumed.begun_as if resumed else attempt_id
+            self._resumed = Resumption(begun_as, record.next_event)
         if response.cut or response.headers.get('connection') == 'close':
             self._disconnect()
         return record
@@ -104,7 +135,11 @@
         return True
 
     async def _send_request(
-        self, attempt_id: str, target: str, key: str
+        self,
+        attempt_id: str,
+        target: str,
+        key: str,
+        resumed: Resumption | None,
     ) -> RawResponse:
         assert self._reader is not None
         assert self._writer is not None
@@ -113,10 +148,15 @@
             f'Bergamotshed-Attempt-Id: {attempt_id}\r\n'
             f'Bergamotshed-Deadline-Ms: {DEADLINE_MS}\r\n'
             'Bergamotshed-Prompt-Prefix: a:10,b:20,c:5\r\n'
-            f'Authorization: Bearer {key}\r\n\r\n'
+            f'Authorization: Bearer {key}\r\n'
         )
+        if resumed is not None:
+            head += (
+                f'Last-Event-Id: {resumed.next_event - 1}\r\n'
+                f'Resumes: {resumed.begun_as}\r\n'
+            )
         try:
-            self._writer.write(head.encode())
+            self._writer.write(f'{head}\r\n'.encode())
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 return await read_answer(self._reader)
         except (OSError, TimeoutError):
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -7,6 +7,7 @@
 
 __all__ = (
     'EVENT_COUNT',
+    'VERSIONS',
     'Engine',
     'EngineRun',
     'expected_body',
@@ -29,6 +30,7 @@
 from .proxy import FaultyProxy
 
 EVENT_COUNT = 15
+VERSIONS = ('v1', 'v2')
 EVENT_GAP_S = 0.02
 RUN_S = 0.03
 STREAM_HEADER = 'Content-Type: text/event-stream'
@@ -39,12 +41,14 @@
     """One request that an engine began to run.
 
     :ivar started_at: monotonic time in seconds
+    :ivar version: of the engine's software
     """
 
     attempt_id: str
     engine: str
     started_at: float
     request: RawRequest
+    version: str = ''
 
 
 class Engine:
@@ -66,6 +70,7 @@
     ) -> None:
         self.name = name
         self.mode = 'fine'
+        self.version = rng.choice(VERSIONS)
         self.born = 1
         self.sequence = 1
         self.drained_at: float | None = None
@@ -84,6 +89,7 @@
             'state': state,
             'sequence': self.sequence,
             'born': self.born,
+            'version': self.version,
         }
 
     async def _handle(
@@ -97,7 +103,9 @@
             writer.write(_refusal(request, '503 Service Unavailable', True))
             return
         now = time.monotonic()
-        self._record_run(EngineRun(request.attempt, self.name, now, request))
+        self._record_run(
+            EngineRun(request.attempt, self.name, now, request, self.version)
+        )
         await asyncio.sleep(RUN_S)
         if mode == 'mute':
             await asyncio.sleep(5)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,7 @@
 from collections.abc import Sequence
 from typing import ClassVar
 
+from .engines import VERSIONS
 from .fleet import Fleet
 
 FAULTS_PER_SECOND = 0.8
@@ -190,6 +191,7 @@
         engine.drained_at = None
         engine.born += 1
         engine.sequence = 1
+        engine.version = self.rng.choice(VERSIONS)
         fleet.register(engine, 'ready')
 
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -41,6 +41,7 @@
             for violation in _violations_of(call, runs[call.attempt_id], fleet)
         ),
         *_changed_requests(runs, calls),
+        *_joined_versions(runs, calls),
         *(
             f'DRAIN: {run.attempt_id} ran {late_s:.2f} s after the drain began'
             for run, late_s in late_runs
@@ -82,7 +83,8 @@
     if call.route in {'once', 'twice'}:
         complete_body = f'{call.attempt_id} {call.target}'.encode()
     else:
-        complete_body = expected_events(call.attempt_id, 0, EVENT_COUNT - 1)
+        first = 0 if call.resumed is None else call.resumed.next_event
+        complete_body = expected_events(call.attempt_id, first, EVENT_COUNT - 1)
     if not call.response.cut:
         return body == complete_body
     # A cut answer is the start of the complete one and ends with an event.
@@ -103,3 +105,22 @@
                 and sent_targets[attempt_id] != target
             ):
                 yield f'UNASKED: {attempt_id} ran {target}'
+
+
+def _joined_versions(
+    runs: dict[str, list[EngineRun]], calls: list[CallRecord]
+) -> Iterator[str]:
+    """Find streams that went on at another version than they began at."""
+    for call in calls:
+        begun_as = call.resumed.begun_as if call.resumed else call.attempt_id
+        origins = [run for run in runs[begun_as] if not _goes_on(run)]
+        for run in runs[call.attempt_id]:
+            if _goes_on(run) and origins and run.version != origins[-1].version:
+                yield (
+                    f'ORDER: {begun_as} began at {origins[-1].version} '
+                    f'and went on as {call.attempt_id} at {run.version}'
+                )
+
+
+def _goes_on(run: EngineRun) -> bool:
+    return 'last-event-id' in run.request.headers
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -8,7 +8,7 @@
 from tests.gateway.support import RawResponse
 from tests.standins.rawupstream import RawRequest
 
-from .callers import CallRecord
+from .callers import CallRecord, Resumption
 from .engines import EVENT_COUNT, EngineRun, expected_events
 from .faults import Fault, draw_faults
 from .fleet import Fleet
@@ -180,3 +180,31 @@
         count for path, count in lines.items() if path.parent.name == 'soak'
     )
     assert soak_lines < sum(lines.values()) / 10
+
+
+def resuming_run(attempt_id: str, version: str, last_event: int) -> EngineRun:
+    headers = {'last-event-id': str(last_event)} if last_event >= 0 else {}
+    request = RawRequest(f'GET {TARGET} HTTP/1.1', headers, b'', 0)
+    return EngineRun(attempt_id, 'i-0', 10, request, version)
+
+
+@pytest.mark.parametrize('version', ['v1', 'v2'])
+def test_a_stream_that_goes_on_at_another_version_is_found(
+    version: str,
+) -> None:
+    record = CallRecord(
+        'b',
+        'resumed',
+        TARGET,
+        'k',
+        10,
+        0.1,
+        RawResponse(200, {}, expected_events('b', 3, EVENT_COUNT - 1), False),
+        Resumption('a', 3),
+    )
+    stub = fleet(
+        resuming_run('a', 'v2', -1),
+        resuming_run('a', 'v1', -1),
+        resuming_run('b', version, 2),
+    )
+    assert ('ORDER' in violations_of(stub, record)) is (version == 'v2')
