--- a/src/bergamotshed/upstreams/pool.py
+++ b/src/bergamotshed/upstreams/pool.py
@@ -147,6 +147,12 @@
             del self._open[connection.address]
 
     async def _connect(self, address: str) -> UpstreamConnection:
+        connection = await self._open_connection(address)
+        self.opened_count += 1
+        self._open[address] += 1
+        return connection
+
+    async def _open_connection(self, address: str) -> UpstreamConnection:
         host, _, port = address.rpartition(':')
         connection = UpstreamConnection(address)
         loop = asyncio.get_running_loop()
@@ -162,6 +168,4 @@
         sock = transport.get_extra_info('socket')
         if sock is not None:
             enable_keepalive(sock)
-        self.opened_count += 1
-        self._open[address] += 1
         return connection
