Serve callers of a router without a way to the upstreams through its peers

The router stayed listed and ready.

Cause: a router took each failed connection for a fault of that upstream. With all upstreams ejected it went on to try four in turn, half a second each, and it had no other way: routers passed no requests to each other.

- upstreams/reach.py: a service is lost to this router if four of its upstreams, or all, can't be connected to and no other could since.
While one can't, some others are probed five times a second, so that a mistake and the end of a cut show at once.
- While a service is lost, a request that has not reached an upstream is sent to a peer whose heartbeat says that it reaches the service; up to three are tried.
The peer admits and forwards it like a caller's, and passes it on no further.
Answers come back in frames that end explicitly, so a broken connection never looks complete; a refusal of the peer still means that the request did not run.
- If no peer reaches the service, the request is refused at once.
- An upstream counts as crashed only if another one can be connected to.
A router that was cut off would have told its peers of a crash of every upstream whose answers broke, with the requests and their parts.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -31,6 +31,7 @@
 from .dialect import Dialect
 from .exchange import AnswerRelay, Exchange
 from .outcome import AttemptOutcome, AttemptResult, can_retry
+from .peer_forwarder import PeerForwarder
 from .request_admission import AdmittedRequest, RequestAdmission
 from .types import AnswerSink, RequestMetadata, RoutedRequest, UpstreamAnswer
 
@@ -75,6 +76,7 @@
     rates: SharedRates
     retries: FleetRetryBudget
     pool: ConnectionPool
+    peers: PeerForwarder
     dialect: Dialect
     clock: Clock
 
@@ -134,6 +136,11 @@
         """Return whether the request may have run."""
         return self._exchange.may_have_run
 
+    @property
+    def is_untouched(self) -> bool:
+        """Return whether no attempt has reached an upstream."""
+        return not self.may_have_run and self._attempt_count == 0
+
     @property
     def query(self) -> PlacementQuery:
         """Return the query that chooses the next upstream."""
--- a/src/bergamotshed/forwarding/crash_detector.py
+++ b/src/bergamotshed/forwarding/crash_detector.py
@@ -9,6 +9,7 @@
 __all__ = ('CrashDetector', 'RequestTraits', 'request_traits')
 
 import asyncio
+import random
 from collections import OrderedDict
 from dataclasses import dataclass
 from datetime import timedelta
@@ -21,12 +22,16 @@
 from ..routing.part_sightings import select_parts
 from ..routing.quarantine import FingerprintStatus, Quarantine
 from ..upstreams.pool import ConnectionPool
+from ..upstreams.registry import UpstreamRegistry
 from ..upstreams.types import Instance, UpstreamNotReached
 from .types import RoutedRequest
 
 #: Minimum interval between checks of one upstream, whose result is reused in
 #: between: a lost connection cuts many answers at once.
 CHECK_INTERVAL = timedelta(milliseconds=300)
+#: Upstreams that are connected to in order to tell a crash from a router that
+#: reaches none.
+CONTROL_PROBES = 3
 #: Maximum number of fingerprints of answered requests, and of results of
 #: checks, that are kept.
 MAX_REMEMBERED = 4096
@@ -59,9 +64,14 @@
     """Distinguishes crashes from lost answers by a connection attempt."""
 
     def __init__(
-        self, quarantine: Quarantine, pool: ConnectionPool, clock: Clock
+        self,
+        quarantine: Quarantine,
+        registry: UpstreamRegistry,
+        pool: ConnectionPool,
+        clock: Clock,
     ) -> None:
         self._quarantine = quarantine
+        self._registry = registry
         self._pool = pool
         self._clock = clock
         self._probe_results: dict[str, _ProbeResult] = {}
@@ -116,8 +126,17 @@
         started_at: float,
         ended_at: float,
     ) -> None:
+        since = self._clock.boottime()
         if await self._is_alive(instance):
             return
+        if not await self._reaches_others(instance, since):
+            log_message(
+                'upstream.crash_unproven',
+                upstream=instance.name,
+                born=instance.born,
+                detail='this router reaches no other upstream either',
+            )
+            return
         crash = Crash(instance.name, str(instance.born))
         status = self._quarantine.record_crash(
             traits.fingerprint, crash, started_at, ended_at, traits.parts
@@ -132,6 +151,22 @@
             suspect_parts=sorted(self._quarantine.parts.suspects),
         )
 
+    async def _reaches_others(self, instance: Instance, since: float) -> bool:
+        """Return whether an upstream other than the unreachable one can be
+        connected to; true if there is no other.
+
+        :param since: boot time after which the connection must have been opened
+        """
+        others = [
+            other
+            for other in self._registry.instances.values()
+            if other.address != instance.address
+        ]
+        if not others or self._pool.reach.was_reached_since(others, since):
+            return True
+        drawn = random.sample(others, min(len(others), CONTROL_PROBES))
+        return any(await asyncio.gather(*map(self._is_alive, drawn)))
+
     async def _is_alive(self, instance: Instance) -> bool:
         cached = self._probe_results.get(instance.address)
         valid_since = self._clock.monotonic() - CHECK_INTERVAL.total_seconds()
--- a/src/bergamotshed/forwarding/forwarder.py
+++ b/src/bergamotshed/forwarding/forwarder.py
@@ -30,6 +30,9 @@
 #: Retry-After where no upstream could take the request, before jitter: a few
 #: times the duration of a plain call, so that slots are free again.
 FULL_RETRY_AFTER = timedelta(milliseconds=300)
+#: Retry-After where neither this router nor a peer reaches an upstream, before
+#: jitter: the time in which routers notice that a way is back.
+LOST_RETRY_AFTER = timedelta(milliseconds=500)
 MIN_JITTER_FACTOR = 0.5
 MAX_JITTER_FACTOR = 1.5
 
@@ -66,6 +69,38 @@
         admitted = await self._dependencies.admission.admit_confirmed(request)
         if isinstance(admitted, Refusal):
             return admitted
+        result = await self._run_here(request, admitted, sink)
+        if result is None:
+            result = await self._dependencies.peers.forward(
+                request, admitted.service, admitted.deadline, sink
+            )
+        return result or _lost_refusal(admitted)
+
+    async def forward_for_peer(
+        self, request: RoutedRequest, sink: AnswerSink
+    ) -> ForwardingResult:
+        """Forward a request of a router that reaches no upstream.
+
+        It is not passed on to a further router.
+        """
+        admitted = await self._dependencies.admission.admit_confirmed(request)
+        if isinstance(admitted, Refusal):
+            return admitted
+        result = await self._run_here(request, admitted, sink)
+        return result or _lost_refusal(admitted)
+
+    async def _run_here(
+        self,
+        request: RoutedRequest,
+        admitted: AdmittedRequest,
+        sink: AnswerSink,
+    ) -> ForwardingResult | None:
+        """Return the result of this router's own attempts.
+
+        :return: ``None`` if it did not run as this router reaches no upstream
+        """
+        if self._is_lost(admitted.service):
+            return None
         origin = await self._resumption.find_origin(request, admitted)
         if isinstance(origin, Refusal):
             return origin
@@ -86,25 +121,43 @@
         request: RoutedRequest,
         admitted: AdmittedRequest,
         attempts: RequestAttempts,
-    ) -> ForwardingResult:
+    ) -> ForwardingResult | None:
         while True:
-            placed = await self._selector.choose(attempts)
-            if isinstance(placed, Refusal):
-                return _give_up(attempts, placed)
-            result: AttemptResult | Refusal | None = None
-            try:
-                result = await self._make_attempt(
-                    request, admitted, attempts, placed
-                )
-            finally:
-                self._selector.release_slot(placed, result)
+            result = await self._attempt_once(request, admitted, attempts)
             if isinstance(result, Refusal):
                 return _give_up(attempts, result)
             if result.outcome is AttemptOutcome.ANSWERED and result.answer:
                 return result.answer
+            if attempts.is_untouched and self._is_lost(admitted.service):
+                return None
             if not attempts.can_retry(result):
                 return _last_result(attempts, result)
 
+    async def _attempt_once(
+        self,
+        request: RoutedRequest,
+        admitted: AdmittedRequest,
+        attempts: RequestAttempts,
+    ) -> AttemptResult | Refusal:
+        """Choose an upstream and make an attempt there."""
+        placed = await self._selector.choose(attempts)
+        if isinstance(placed, Refusal):
+            return placed
+        result: AttemptResult | Refusal | None = None
+        try:
+            result = await self._make_attempt(
+                request, admitted, attempts, placed
+            )
+        finally:
+            self._selector.release_slot(placed, result)
+        return result
+
+    def _is_lost(self, service: str) -> bool:
+        """Return whether this router has no way to a service's upstreams."""
+        dependencies = self._dependencies
+        members = dependencies.registry.members(service)
+        return dependencies.pool.reach.is_lost(members)
+
     async def _make_attempt(
         self,
         request: RoutedRequest,
@@ -149,6 +202,14 @@
     return refusal
 
 
+def _lost_refusal(admitted: AdmittedRequest) -> Refusal:
+    return Refusal(
+        Reason.UPSTREAMS_LOST,
+        _jittered(LOST_RETRY_AFTER),
+        f'no upstream of {admitted.service} can be reached',
+    )
+
+
 def _timeout_result(attempts: RequestAttempts) -> ForwardingResult:
     if attempts.relay.is_started:
         attempts.relay.abort()
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -8,8 +8,7 @@
 
 __all__ = ('build_gateway',)
 
-import math
-import random
+from collections.abc import Iterable
 from datetime import timedelta
 
 from aiohttp import ClientSession
@@ -18,12 +17,9 @@
 from ..edge.info_server import EntryAddressesPage, HealthPage, InfoServer
 from ..edge.server import EdgeOptions, EdgeServer
 from ..forwarding.attempts import ForwardingDependencies
-from ..forwarding.crash_detector import CrashDetector
 from ..forwarding.forwarder import Forwarder
-from ..forwarding.request_admission import AdmissionOptions, RequestAdmission
 from ..operators.server import OperatorsServer
 from ..platform.configuration import PlatformRoutingDataDecoder
-from ..platform.headers import PlatformDialect
 from ..platform.instances import PlatformInstanceDecoder
 from ..platform.store import PlatformStore
 from ..process.journal import Journal
@@ -38,22 +34,18 @@
 from ..routers.crashparts import build_crash_parts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
 from ..routers.mesh import PeerMesh
+from ..routers.relayserver import RelayServer
 from ..routers.sharedstate import build_shared_state
 from ..routers.storerelay import StoreRelay
 from ..routers.suspectstore import SuspectStore
 from ..routes.current_table import CurrentRoutingTable
-from ..routing.affinity import AffinityPlacer
-from ..routing.cache_source import CacheSources
-from ..routing.fleet_retry_budget import (
-    FleetRetryBudget,
-    FleetRetryBudgetOptions,
-)
-from ..routing.upstream_loads import UpstreamLoads
+from ..routes.table import RoutingTable
 from ..store.health import StoreHealth
-from ..store.types import Topic
 from ..upstreams.pool import ConnectionPool, PoolOptions
+from ..upstreams.reach_prober import ReachProber
 from ..upstreams.registry import UpstreamRegistry
 from .followers import build_followers, topic_consumers
+from .forwarding_parts import admission_options, build_forwarding
 from .heartbeat import HeartbeatBuilder
 from .inspection import health_report, register_inspection
 from .live_settings import LiveSettings
@@ -61,24 +53,13 @@
 from .return_spread import ReturnSpread
 from .settings import AddressSettings, GatewaySettings
 
-#: Part of the time after which a revoked key must not run that is reserved
-#: for sending the request to the upstream.
-REVOKE_MARGIN = timedelta(milliseconds=250)
-#: Age of the configuration, as a share of the time to apply a version, from
-#: which on an unknown route or key is not denied, as a newer version may
-#: contain it.
-DENIAL_SHARE = 0.95
 #: How long an idle connection of a caller is kept; well above any limit that
 #: operators set for callers.
 CALLER_IDLE_TIMEOUT = timedelta(seconds=120)
-#: Share of an upstream's connection limit that the routers use for requests;
-#: the rest is for idle connections and for routers that are not counted yet.
-CONNECTIONS_SHARE = 0.7
 #: Number of crashes after which a request is not run again (the platform
 #: allows three), and how long a crash counts.
 MAX_CRASHES = 3
 CRASH_RETENTION = timedelta(minutes=2)
-MILLISECOND = timedelta(milliseconds=1)
 
 
 def build_gateway(
@@ -100,7 +81,7 @@
     fleet = _build_fleet_parts(settings, clock, entry, shutdown, session)
     meters = Meters(settings.node.name)
     metrics = GatewayMetrics(meters, RequestMetrics(meters))
-    forwarding = _build_forwarding(live, clock, fleet, shutdown)
+    forwarding = build_forwarding(live, clock, fleet, shutdown, session)
     announcer = Announcer(
         fleet.store,
         entry,
@@ -114,6 +95,11 @@
         fleet=fleet,
         metrics=metrics,
         forwarding=forwarding,
+        relay=RelayServer(
+            settings.addresses.relay,
+            Forwarder(forwarding).forward_for_peer,
+            clock,
+        ),
         announcer=announcer,
         edge=_build_edge(settings.addresses, forwarding, metrics),
         shutdown=shutdown,
@@ -140,6 +126,7 @@
             *(follower.run for follower in fleet.followers.values()),
             fleet.heartbeats.run,
             fleet.crashes.exchange.run,
+            fleet.prober.run,
             SuspectStore(
                 fleet.store,
                 fleet.crashes.quarantine.parts,
@@ -166,28 +153,37 @@
     registry = UpstreamRegistry(PlatformInstanceDecoder(), health, clock)
     roster = Roster(entry, health, clock)
     traffic = Traffic(clock)
-    mesh = _build_mesh(entry, clock, traffic)
+    prober = ReachProber(
+        registry,
+        ConnectionPool(PoolOptions(), clock),
+        lambda: _services(routing.table),
+        clock,
+    )
     heartbeats = GatewayHeartbeats(
-        mesh,
+        _build_mesh(entry, clock, traffic),
         entry.name,
         roster.routers,
         HeartbeatBuilder(
-            _admission_options(settings).max_keyed_age, routing, shutdown
+            admission_options(settings).max_keyed_age,
+            routing,
+            shutdown,
+            lambda: prober.lost_services,
         ).build,
         routing.hear_version,
         clock,
     )
-    notices = ConfirmedNotices(entry.name, mesh, roster, clock)
+    notices = ConfirmedNotices(entry.name, heartbeats.mesh, roster, clock)
     return FleetParts(
         store=store,
         store_health=health,
         traffic=traffic,
         routing=routing,
         registry=registry,
+        prober=prober,
         roster=roster,
         crashes=build_crash_parts(
             entry.name,
-            mesh,
+            heartbeats.mesh,
             notices,
             heartbeats.live_routers,
             clock,
@@ -203,7 +199,7 @@
             StoreRelay(
                 store,
                 entry.name,
-                mesh,
+                heartbeats.mesh,
                 lambda: _live_in_domain(entry, roster, heartbeats),
                 clock,
             ),
@@ -214,6 +210,10 @@
     )
 
 
+def _services(table: RoutingTable | None) -> Iterable[str]:
+    return () if table is None else table.services
+
+
 def _live_in_domain(
     own: RosterEntry, roster: Roster, heartbeats: GatewayHeartbeats
 ) -> list[str]:
@@ -240,83 +240,11 @@
         callers=settings.addresses.callers,
         peers=settings.addresses.peers,
         domain=settings.node.domain,
+        relay=settings.addresses.relay,
         started=int(clock.now().timestamp() * 1000),
     )
 
 
-def _build_forwarding(
-    live: LiveSettings,
-    clock: Clock,
-    fleet: FleetParts,
-    shutdown: ShutdownWindow,
-) -> ForwardingDependencies:
-    rng = random.Random()
-    loads = UpstreamLoads(clock)
-    pool = ConnectionPool(PoolOptions(), clock)
-    return ForwardingDependencies(
-        admission=RequestAdmission(
-            lambda: _admission_options(live.current),
-            fleet.routing,
-            shutdown,
-            fleet.followers[Topic.CONFIGURATION].confirm,
-            fleet.heartbeats.has_ready_peer,
-            rng.random,
-        ),
-        crashes=CrashDetector(fleet.crashes.quarantine, pool, clock),
-        registry=fleet.registry,
-        placer=AffinityPlacer(
-            fleet.registry,
-            loads,
-            CacheSources(fleet.registry, loads, fleet.shared.prompts.memory),
-            lambda service: _max_in_flight(fleet, service),
-            live.current.node.domain,
-            rng.random,
-        ),
-        loads=loads,
-        prompts=fleet.shared.prompts,
-        origins=fleet.shared.origins,
-        slots=fleet.shared.slots,
-        rates=fleet.shared.rates,
-        retries=FleetRetryBudget(
-            lambda: _retry_options(live.current),
-            fleet.roster.count,
-            clock,
-        ),
-        pool=pool,
-        dialect=PlatformDialect(),
-        clock=clock,
-    )
-
-
-def _max_in_flight(fleet: FleetParts, service: str) -> float:
-    """Return this router's share of the connections to one upstream."""
-    table = fleet.routing.table
-    routed = None if table is None else table.services.get(service)
-    if routed is None or not routed.max_connections:
-        return math.inf
-    usable = routed.max_connections * CONNECTIONS_SHARE
-    return max(1, usable / fleet.roster.count())
-
-
-def _retry_options(settings: GatewaySettings) -> FleetRetryBudgetOptions:
-    return FleetRetryBudgetOptions(
-        settings.retries.ratio,
-        settings.retries.slack,
-        timedelta(seconds=settings.retries.window_s),
-    )
-
-
-def _admission_options(settings: GatewaySettings) -> AdmissionOptions:
-    limits = settings.configuration
-    connect_timeout = PoolOptions().connect_timeout
-    return AdmissionOptions(
-        max_keyed_age=limits.revoke_ms * MILLISECOND
-        - connect_timeout
-        - REVOKE_MARGIN,
-        max_denial_age=limits.apply_ms * MILLISECOND * DENIAL_SHARE,
-    )
-
-
 def _build_edge(
     addresses: AddressSettings,
     forwarding: ForwardingDependencies,
--- a/src/bergamotshed/gateway/heartbeat.py
+++ b/src/bergamotshed/gateway/heartbeat.py
@@ -7,6 +7,7 @@
 
 __all__ = ('HeartbeatBuilder',)
 
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from ..process.shutdown import ShutdownWindow
@@ -18,6 +19,7 @@
     """Reports whether this gateway accepts requests.
 
     :param max_age: age of the configuration from which on it does not
+    :param lost_services: returns the services that it does not reach
     """
 
     def __init__(
@@ -25,10 +27,12 @@
         max_age: timedelta,
         routing: CurrentRoutingTable,
         shutdown: ShutdownWindow,
+        lost_services: Callable[[], Iterable[str]],
     ) -> None:
         self._max_age_s = max_age.total_seconds()
         self._routing = routing
         self._shutdown = shutdown
+        self._lost_services = lost_services
 
     def build(self) -> GatewayHeartbeat:
         """Return the next heartbeat."""
@@ -36,4 +40,8 @@
             not self._shutdown.is_stopping
             and self._routing.age < self._max_age_s
         )
-        return GatewayHeartbeat(is_ready, self._routing.version)
+        return GatewayHeartbeat(
+            is_ready,
+            self._routing.version,
+            tuple(sorted(self._lost_services())),
+        )
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -94,8 +94,11 @@
     gateway: Gateway, stream: LogStream, listeners: Listeners
 ) -> None:
     addresses = gateway.settings.addresses
-    await gateway.health.start()
-    await gateway.operators.start()
+    await asyncio.gather(
+        gateway.health.start(),
+        gateway.operators.start(),
+        gateway.relay.start(),
+    )
     await _start_tasks(gateway, stream.run, *gateway.tasks)
     followers = gateway.fleet.followers.values()
     await wait_until_listed(followers, START_TIMEOUT)
@@ -125,19 +128,20 @@
     gateway.shutdown.begin()
     gateway.edge.drain()
     gateway.announcer.leave()
-    log_message('gateway.leaving', in_flight=gateway.edge.in_flight)
+    log_message('gateway.leaving', in_flight=gateway.in_flight)
     min_drain = timedelta(
         seconds=gateway.settings.directory.lifetime_s * MIN_DRAIN_LIFETIMES
     )
     while gateway.shutdown.remaining > timedelta(0):
-        if gateway.shutdown.elapsed >= min_drain and not gateway.edge.in_flight:
+        if gateway.shutdown.elapsed >= min_drain and not gateway.in_flight:
             break
         await gateway.clock.sleep(POLL_INTERVAL)
 
 
 async def _stop_servers(gateway: Gateway) -> None:
-    log_message('gateway.stopped', in_flight=gateway.edge.in_flight)
+    log_message('gateway.stopped', in_flight=gateway.in_flight)
     await gateway.edge.stop()
+    await gateway.relay.stop()
     for server in (gateway.health, gateway.directory, gateway.operators):
         await server.stop()
     gateway.forwarding.pool.close()
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -23,11 +23,13 @@
 from ..roster.roster import Roster
 from ..routers.crashparts import CrashParts
 from ..routers.gatewayheartbeats import GatewayHeartbeats
+from ..routers.relayserver import RelayServer
 from ..routers.sharedstate import SharedState
 from ..routes.current_table import CurrentRoutingTable
 from ..store.follower import TopicFollower
 from ..store.health import StoreHealth
 from ..store.types import KeyedStore, Topic
+from ..upstreams.reach_prober import ReachProber
 from ..upstreams.registry import UpstreamRegistry
 from .live_settings import LiveSettings
 from .settings import GatewaySettings
@@ -45,6 +47,7 @@
     traffic: Traffic
     routing: CurrentRoutingTable
     registry: UpstreamRegistry
+    prober: ReachProber
     roster: Roster
     crashes: CrashParts
     heartbeats: GatewayHeartbeats
@@ -66,6 +69,7 @@
 
     :ivar forwarding: what every forwarded request uses
     :ivar edge: serves the callers' address
+    :ivar relay: serves routers that reach no upstream
     :ivar health: serves the health address
     :ivar directory: serves the entry addresses
     :ivar tasks: coroutine functions that run until cancelled
@@ -78,6 +82,7 @@
     forwarding: ForwardingDependencies
     announcer: Announcer
     edge: EdgeServer
+    relay: RelayServer
     shutdown: ShutdownWindow
     operators: OperatorsServer
     health: InfoServer
@@ -89,6 +94,11 @@
         """Return the settings in force."""
         return self.live.current
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests of callers and peers."""
+        return self.edge.in_flight + self.relay.in_flight
+
     def is_ready(self) -> bool:
         """Return whether requests are accepted."""
         return not self.unready_reason
@@ -133,6 +143,9 @@
     def run_maintenance(self) -> None:
         """Drop unused connections and counters and apply new limits."""
         self.forwarding.pool.sweep()
+        self.forwarding.pool.reach.forget_unlisted(
+            self.fleet.registry.instances.values()
+        )
         self.fleet.shared.slots.release_silent_routers()
         instances = list(self.fleet.registry.instances.values())
         self.forwarding.loads.forget_unlisted(instances)
--- a/src/bergamotshed/gateway/settings.py
+++ b/src/bergamotshed/gateway/settings.py
@@ -55,6 +55,8 @@
     :ivar directory: lists the addresses of the routers for callers
     :ivar peers: serves the other routers
     :ivar operators: serves state, explanations and metrics
+    :ivar relay: serves requests of routers that reach no upstream; empty for
+        none
     """
 
     callers: str = option(Address())
@@ -62,6 +64,7 @@
     directory: str = option(Address())
     peers: str = option(Address())
     operators: str = option(Address())
+    relay: str = option(Address(), default='')
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotshed/reasons.py
+++ b/src/bergamotshed/reasons.py
@@ -41,7 +41,9 @@
     ENGINE_SILENT = 'engine_silent'
     ORIGIN_GONE = 'origin_gone'
     ORIGIN_UNKNOWN = 'origin_unknown'
+    PEER_BROKEN = 'peer_broken'
     STOPPING = 'stopping'
+    UPSTREAMS_LOST = 'upstreams_lost'
     BAD_REQUEST = 'bad_request'
     BROKEN = 'broken'
 
--- a/src/bergamotshed/roster/types.py
+++ b/src/bergamotshed/roster/types.py
@@ -20,6 +20,8 @@
     :ivar domain: failure domain
     :ivar started: Unix time of its start in milliseconds
     :ivar leaving: it is shutting down
+    :ivar relay: ``ip:port`` where it takes requests from other routers; empty
+        if it takes none
     """
 
     name: str
@@ -28,6 +30,7 @@
     domain: str
     started: int
     leaving: bool = False
+    relay: str = ''
 
 
 _decoder = json.Decoder(RosterEntry)
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -253,10 +253,12 @@
 
     :ivar ready: whether it takes requests
     :ivar version: version of its configuration, -1 for none
+    :ivar lost_services: services whose upstreams it can't connect to
     """
 
     ready: bool
     version: int
+    lost_services: tuple[str, ...] = ()
 
 
 Message = (
--- a/src/bergamotshed/upstreams/pool.py
+++ b/src/bergamotshed/upstreams/pool.py
@@ -15,6 +15,7 @@
 from ..clock import Clock
 from ..sockets import enable_keepalive
 from .connection import UpstreamConnection
+from .reach import UpstreamReach
 from .types import UpstreamNotReached
 
 SWEEP_INTERVAL = timedelta(seconds=1)
@@ -44,10 +45,12 @@
     """Reuses connections, the most recently used first.
 
     :ivar opened_count: connections opened so far
+    :ivar reach: which upstreams could be connected to
     """
 
     def __init__(self, options: PoolOptions, clock: Clock) -> None:
         self._options = options
+        self.reach = UpstreamReach(clock)
         self._clock = clock
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._open: Counter[str] = Counter()
@@ -147,7 +150,12 @@
             del self._open[connection.address]
 
     async def _connect(self, address: str) -> UpstreamConnection:
-        connection = await self._open_connection(address)
+        try:
+            connection = await self._open_connection(address)
+        except UpstreamNotReached:
+            self.reach.record_unreached(address)
+            raise
+        self.reach.record_reached(address)
         self.opened_count += 1
         self._open[address] += 1
         return connection
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -154,7 +154,12 @@
 @asynccontextmanager
 async def serving(gateway: Gateway) -> AsyncIterator[None]:
     """Run the servers and tasks of a gateway."""
-    for server in (gateway.health, gateway.directory, gateway.edge):
+    for server in (
+        gateway.health,
+        gateway.directory,
+        gateway.relay,
+        gateway.edge,
+    ):
         await server.start()
     tasks = [asyncio.ensure_future(run()) for run in gateway.tasks]
     try:
@@ -163,7 +168,12 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for server in (gateway.edge, gateway.health, gateway.directory):
+        for server in (
+            gateway.edge,
+            gateway.relay,
+            gateway.health,
+            gateway.directory,
+        ):
             await server.stop()
         gateway.forwarding.pool.close()
 
@@ -172,12 +182,10 @@
     store: str, revoke_ms: float, grace_s: float, name: str = 'gw-1'
 ) -> GatewaySettings:
     """Return settings with free ports."""
-    callers, health, directory, peers, operators = (
-        f'127.0.0.1:{port}' for port in free_ports(5)
-    )
+    addresses = [f'127.0.0.1:{port}' for port in free_ports(6)]
     return GatewaySettings(
         NodeSettings(name, 'a', grace_s=grace_s),
-        AddressSettings(callers, health, directory, peers, operators),
+        AddressSettings(*addresses),
         StoreSettings(store, configuration_wait_ms=200),
         ConfigurationSettings(revoke_ms=revoke_ms),
         RetrySettings(ratio=0.2, slack=50),
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -1,4 +1,4 @@
-from bergamotshed.gateway.composition import _admission_options
+from bergamotshed.gateway.forwarding_parts import admission_options
 from bergamotshed.gateway.settings import (
     AddressSettings,
     GatewaySettings,
@@ -19,7 +19,7 @@
         StoreSettings('127.0.0.1:1'),
     )
     max_age_ms = (
-        _admission_options(settings).max_keyed_age.total_seconds() * 1000
+        admission_options(settings).max_keyed_age.total_seconds() * 1000
     )
     served_ms = max_age_ms - settings.store.configuration_wait_ms
     assert served_ms >= REQUIRED_SHARE * settings.configuration.revoke_ms
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -38,6 +38,7 @@
     'directory': 7003,
     'peers': 7004,
     'operators': 7005,
+    'relay': 7006,
 }
 
 
