Reserve slots at brittle upstreams, so that they turn few requests away

Upstreams of a service may say that they fall over if they have to turn away more than a number of requests in a second. Each router alone would cause as many rejections as one upstream bears, so the sum over the routers has to hold.

While answers of a service say so, each request needs a slot of its home, which exists for services with few slots already: the home counts the requests of all routers. - No more slots are granted than an upstream has; sound ones get a quarter more. - A rejection shows the home how much room the upstream has; it is assumed to regain a tenth of its slots a second. At half of the rejections that it bears nothing is granted for the rest of the second. - Homes that can't hear each other share the room and the rejections. A new home grants half of it for two seconds, as it does not know what is in flight. - The upstream that has read a prompt is preferred if it has room. - If neither the home nor the router after it answers, the request is refused.

--- a/src/bergamotshed/forwarding/answer_observer.py
+++ b/src/bergamotshed/forwarding/answer_observer.py
@@ -9,12 +9,12 @@
 
 from ..routing.prompt_readers import SharedPromptReaders
 from ..routing.stream_origins import SharedStreamOrigins, StreamOrigin
-from ..routing.types import SharedRates
+from ..routing.types import SharedRates, SharedSlots
 from ..routing.upstream_loads import UpstreamLoads
 from ..upstreams.types import Instance, ReportedLoad
 from .crash_watch import CrashWatch
 from .exchange import ExchangeObserver
-from .types import RoutedRequest
+from .types import AnswerMetadata, RoutedRequest
 
 
 class AnswerObserver(ExchangeObserver):
@@ -33,6 +33,7 @@
         loads: UpstreamLoads,
         prompts: SharedPromptReaders,
         rates: SharedRates,
+        slots: SharedSlots,
         watch: CrashWatch,
         origins: SharedStreamOrigins | None,
         begun: StreamOrigin | None,
@@ -40,6 +41,7 @@
         self.origin = begun
         self._origins = origins
         self._rates = rates
+        self._slots = slots
         self._sent_at = float('-inf')
         self._request = request
         self._loads = loads
@@ -54,9 +56,12 @@
         self._sent_at = sent_at
         self._watch.start()
 
-    def record_limit(self, instance: Instance, rate: float | None) -> None:
-        """Record the limit that the upstream names."""
-        self._rates.record_limit(instance, rate, self._sent_at)
+    def record_limits(
+        self, instance: Instance, metadata: AnswerMetadata
+    ) -> None:
+        """Record the limit that the upstream names and how brittle it is."""
+        self._rates.record_limit(instance, metadata.max_rate, self._sent_at)
+        self._slots.record_borne(instance, metadata.borne)
 
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
         """Record the load that an upstream reported."""
--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -113,6 +113,7 @@
             dependencies.loads,
             dependencies.prompts,
             dependencies.rates,
+            dependencies.slots,
             self.watch,
             dependencies.origins if _is_resumable(admitted) else None,
             begun,
@@ -161,10 +162,13 @@
         """Return how long the request may wait before it is sent."""
         return self._admitted.route.target_latency * SLOT_WAIT_SHARE
 
-    def slot_request(self, unusable: frozenset[str]) -> PlacementRequest:
+    def slot_request(
+        self, unusable: frozenset[str], preferred: str
+    ) -> PlacementRequest:
         """Return the request for a slot, to the home of the service.
 
         :param unusable: names of the upstreams that must not be chosen
+        :param preferred: name of the upstream to choose if it has room
         """
         admitted = self._admitted
         organisation = admitted.organisation
@@ -177,7 +181,9 @@
             priority=admitted.priority,
             deadline=timedelta(seconds=max(0, remaining_s)),
             excluded=unusable,
+            preferred=preferred,
             patience=self.patience_for_slot,
+            borne=self._dependencies.slots.borne_by(admitted.service),
         )
 
     async def make_attempt(
@@ -316,6 +322,7 @@
             ending=result.outcome.value,
             detail=result.detail,
             upstream_max_rate=None if metadata is None else metadata.max_rate,
+            upstream_borne=None if metadata is None else metadata.borne,
             body_end='' if metadata is None else metadata.delimitation.value,
             last_event=splitter.last_id,
             open_event_bytes=len(splitter.rest),
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -90,10 +90,10 @@
         """Record the load that an upstream reported."""
 
     @abstractmethod
-    def record_limit(self, instance: Instance, rate: float | None) -> None:
-        """Record the requests a second that an upstream takes; ``None`` if it
-        names no limit.
-        """
+    def record_limits(
+        self, instance: Instance, metadata: AnswerMetadata
+    ) -> None:
+        """Record how much an upstream says that it takes."""
 
     @abstractmethod
     def record_start(self, instance: Instance) -> None:
@@ -199,7 +199,7 @@
         if flaw:
             return self._broken_result(flaw)
         if self.answer_metadata.status != HTTP_MISDIRECTED:
-            self._observer.record_limit(instance, self.answer_metadata.max_rate)
+            self._observer.record_limits(instance, self.answer_metadata)
         if _is_success(self.answer_metadata):
             self._observer.record_start(instance)
         return await self._read_answer(
--- a/src/bergamotshed/forwarding/types.py
+++ b/src/bergamotshed/forwarding/types.py
@@ -129,6 +129,8 @@
     :ivar load: the load that the upstream reports; ``None`` if not stated
     :ivar max_rate: requests a second that the upstream takes from all routers
         together for as long as it says so; ``None`` for no limit
+    :ivar borne: rejections for want of room in a second that the upstream
+        bears before it falls over; ``None`` for any number
     :ivar caller_headers: headers that are passed on to the caller
     """
 
@@ -142,6 +144,7 @@
     keep_alive_s: float | None
     load: ReportedLoad | None
     max_rate: float | None
+    borne: float | None
     caller_headers: CallerHeaders
 
 
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -27,7 +27,12 @@
 MAX_PLACEMENTS = 12
 NO_WAIT = timedelta(0)
 
-_RUN_OUTCOMES = frozenset((AttemptOutcome.ANSWERED, AttemptOutcome.FAILED))
+#: Outcomes of slots; others count as cancelled.
+_SLOT_OUTCOMES = {
+    AttemptOutcome.ANSWERED: Outcome.DONE,
+    AttemptOutcome.FAILED: Outcome.DONE,
+    AttemptOutcome.NOT_RUN: Outcome.REFUSED,
+}
 
 
 class UpstreamSelector:
@@ -65,14 +70,39 @@
         self, attempts: RequestAttempts
     ) -> PlacedUpstream | Refusal:
         query = attempts.query
+        slots = self._dependencies.slots
+        if slots.borne_by(query.service) is not None:
+            return await self._reserve_brittle(attempts)
         if query.shared_parts:
             return await self._place_at_reader(attempts)
-        if self._dependencies.slots.is_scarce(query.service):
-            reserved = await self._reserve_slot(attempts)
+        if slots.is_scarce(query.service):
+            reserved = await self._reserve_slot(attempts, None)
             if reserved is not None:
                 return reserved
         return self._place(attempts)
 
+    async def _reserve_brittle(
+        self, attempts: RequestAttempts
+    ) -> PlacedUpstream | Refusal:
+        """Reserve a slot of an upstream that must not reject many requests.
+
+        Nothing is sent without a slot.
+        """
+        preferred: PlacedUpstream | None = None
+        if attempts.query.shared_parts:
+            placed = await self._place_at_reader(attempts)
+            if isinstance(placed, Refusal):
+                return placed
+            preferred = placed
+        reserved = await self._reserve_slot(attempts, preferred)
+        if reserved is not None:
+            return reserved
+        return Refusal(
+            Reason.OVERLOADED,
+            ALL_BUSY_RETRY_AFTER,
+            'no slot of a brittle upstream was granted',
+        )
+
     def release_slot(
         self, placed: PlacedUpstream, result: AttemptResult | Refusal | None
     ) -> None:
@@ -83,13 +113,10 @@
         """
         if placed.slot is None:
             return
-        has_run = (
-            isinstance(result, AttemptResult)
-            and result.outcome in _RUN_OUTCOMES
-        )
-        self._dependencies.slots.release(
-            placed.slot, Outcome.DONE if has_run else Outcome.CANCELLED
-        )
+        outcome = Outcome.CANCELLED
+        if isinstance(result, AttemptResult):
+            outcome = _SLOT_OUTCOMES.get(result.outcome, outcome)
+        self._dependencies.slots.release(placed.slot, outcome)
 
     async def _wait_for_rate(
         self, attempts: RequestAttempts
@@ -135,17 +162,22 @@
         return placed
 
     async def _reserve_slot(
-        self, attempts: RequestAttempts
+        self, attempts: RequestAttempts, preferred: PlacedUpstream | None
     ) -> PlacedUpstream | Refusal | None:
         """Reserve a slot at the service's home.
 
+        :param preferred: the upstream to take if it has room; ``None`` for any
         :return: ``None`` if an upstream must be chosen without a slot
         """
         unusable = self._find_unusable(attempts)
         if unusable is None:
             return None
         slots = self._dependencies.slots
-        placed = await slots.reserve(attempts.slot_request(unusable))
+        placed = await slots.reserve(
+            attempts.slot_request(
+                unusable, preferred.instance.name if preferred else ''
+            )
+        )
         if not isinstance(placed, Placement):
             return placed
         instance = self._dependencies.registry.instances.get(
@@ -155,7 +187,13 @@
             slots.release(placed, Outcome.CANCELLED)
             return None
         load = self._dependencies.loads.load_of(instance).in_flight
-        return PlacedUpstream(instance, True, load, slot=placed)
+        if preferred is None:
+            return PlacedUpstream(instance, True, load, slot=placed)
+        if instance.name == preferred.instance.name:
+            return replace(preferred, slot=placed)
+        return self._dependencies.placer.with_source(
+            attempts.query, PlacedUpstream(instance, False, load, slot=placed)
+        )
 
     def _find_unusable(
         self, attempts: RequestAttempts
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -149,9 +149,9 @@
         self.fleet.shared.slots.release_silent_routers()
         instances = list(self.fleet.registry.instances.values())
         self.forwarding.loads.forget_unlisted(instances)
-        self.fleet.shared.rates.known.forget_unlisted(
-            instance.incarnation for instance in instances
-        )
+        listed = {instance.incarnation for instance in instances}
+        self.fleet.shared.rates.known.forget_unlisted(listed)
+        self.fleet.shared.slots.brittle.forget_unlisted(listed)
         table = self.fleet.routing.table
         if table is not None:
             self.edge.limits = table.limits
--- a/src/bergamotshed/platform/store.py
+++ b/src/bergamotshed/platform/store.py
@@ -89,7 +89,7 @@
         query = {'topic': names.TOPICS[topic], 'part': PARTITION}
         end: Position | None = None
         while True:
-            answer = await self._get('/log-newest', query, timedelta(0))
+            answer = await self._call('GET', '/log-newest', query, timedelta(0))
             page = _decode_page(answer.body)
             entries.extend(
                 Entry(entry.key, entry.value) for entry in page.entries
@@ -113,7 +113,7 @@
             'from': str(start.offset),
             'wait_ms': str(wait // timedelta(milliseconds=1)),
         }
-        answer = await self._get('/log-read', query, wait)
+        answer = await self._call('GET', '/log-read', query, wait)
         if answer.era != start.era:
             raise StoreHistoryGone(
                 f'/log-read: the era is {answer.era}, not {start.era}',
@@ -137,18 +137,13 @@
             _LENGTH.pack(len(record)) + record,
         )
 
-    async def _get(
-        self, path: str, query: dict[str, str], wait: timedelta
-    ) -> StoreAnswer:
-        return await self._call('GET', path, query, wait, None)
-
     async def _call(
         self,
         method: str,
         path: str,
         query: dict[str, str],
         wait: timedelta,
-        payload: bytes | None,
+        payload: bytes | None = None,
     ) -> StoreAnswer:
         self.calls += 1
         try:
--- a/src/bergamotshed/routers/placementcodec.py
+++ b/src/bergamotshed/routers/placementcodec.py
@@ -69,6 +69,7 @@
         preferred=request.preferred,
         fingerprint=request.fingerprint,
         patience=request.patience // MILLISECOND,
+        borne=-1 if request.borne is None else request.borne,
     )
 
 
@@ -88,6 +89,7 @@
         preferred=message.preferred,
         fingerprint=message.fingerprint,
         patience=message.patience * MILLISECOND,
+        borne=None if message.borne < 0 else message.borne,
     )
 
 
--- a/src/bergamotshed/routers/slothomes.py
+++ b/src/bergamotshed/routers/slothomes.py
@@ -5,8 +5,9 @@
 Reserves slots at the home of a service, and acts as the home of some services.
 
 A service has a home if an upstream of it has fewer slots than there are
-routers. For other services, and while a home does not answer, each router
-places alone.
+routers, or while its upstreams are brittle. For other services each router
+places alone, and so it does while a home does not answer, unless the upstreams
+are brittle.
 """
 
 __all__ = ('SlotHomes',)
@@ -19,6 +20,7 @@
 from ..clock import Clock
 from ..reasons import Refusal
 from ..routing.admission import Admission
+from ..routing.brittle import BrittleUpstreams
 from ..routing.cache_source import ListedUpstreams, subject_order
 from ..routing.inflight import grant_series
 from ..routing.slothome import SlotHome, upstream_of
@@ -29,6 +31,7 @@
     SharedSlots,
     Upstream,
 )
+from ..upstreams.types import Instance
 from .gatewayheartbeats import GatewayHeartbeats
 from .mesh import PeerMesh
 from .messages import Message, PlaceAnswer, PlaceRequest, Release
@@ -46,6 +49,8 @@
 #: reports that an answer takes longer, and several times the latency between
 #: failure domains.
 ASK_TIMEOUT = timedelta(milliseconds=40)
+#: Routers that are asked in turn for slots of brittle upstreams.
+FALLBACK_HOMES = 2
 
 
 class SlotHomes(SharedSlots):
@@ -53,6 +58,7 @@
 
     :param node: this router's name
     :param heartbeats: shows which routers are alive
+    :ivar brittle: the upstreams that say that they are
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         self._clock = clock
         self._rng = random.Random()
         self._homes: dict[str, SlotHome] = {}
+        self.brittle = BrittleUpstreams(clock)
         mesh.on_question(PlaceRequest, self._handle_place_request)
         mesh.on_notice(Release, self._handle_release)
         mesh.on_late_answer(PlaceRequest, self._release_late)
@@ -83,18 +90,44 @@
         """Return whether the slots of a service are granted by a home."""
         instances = self._listed.members(service)
         routers = len(self._heartbeats.live_routers())
-        return (
+        return self.borne_by(service) is not None or (
             bool(instances)
             and min(instance.slots for instance in instances) < routers
         )
 
+    def record_borne(self, instance: Instance, borne: float | None) -> None:
+        """Record how many rejections in a second an upstream bears."""
+        if self.brittle.record_answer(instance, borne):
+            log_message(
+                'upstream.brittle',
+                upstream=instance.name,
+                service=instance.service,
+                borne=borne,
+            )
+
+    def borne_by(self, service: str) -> float | None:
+        """Return how many rejections in a second its upstreams bear."""
+        return self.brittle.borne_by(service)
+
     async def reserve(
         self, request: PlacementRequest
     ) -> Placement | Refusal | None:
-        """Reserve a slot; ``None`` if the home does not answer."""
-        home = subject_order(request.service, self._heartbeats.live_routers())[
-            0
-        ]
+        """Reserve a slot; ``None`` if the home does not answer.
+
+        For brittle upstreams the next router takes the place of a home that
+        does not answer.
+        """
+        homes = subject_order(request.service, self._heartbeats.live_routers())
+        count = 1 if request.borne is None else FALLBACK_HOMES
+        for home in homes[:count]:
+            placed = await self._reserve_at(home, request)
+            if placed is not None:
+                return placed
+        return None
+
+    async def _reserve_at(
+        self, home: str, request: PlacementRequest
+    ) -> Placement | Refusal | None:
         if home == self._node:
             return await self._home_of(request.service).place(home, request)
         answer = await self._mesh.ask(
@@ -143,6 +176,7 @@
                 Admission(self._clock, self._rng),
                 self._clock,
                 grant_series(self._rng),
+                self._heartbeats.live_share,
             )
             self._homes[service] = home
         return home
@@ -162,7 +196,12 @@
         # Each home numbers its grants in a series of its own, so that at most
         # one of them has this grant.
         for home in self._homes.values():
-            home.release(router, grant, has_run=outcome is Outcome.DONE)
+            home.release(
+                router,
+                grant,
+                has_run=outcome is Outcome.DONE,
+                was_rejected=outcome is Outcome.REFUSED,
+            )
 
     def _release_late(
         self, peer: str, _message: PlaceRequest, answer: Message
--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -157,7 +157,16 @@
         candidates = usable or healthy or available
         if not query.shared_parts:
             return self._place_by_load(candidates)
-        placed = self._place_by_subject(query, candidates)
+        return self.with_source(
+            query, self._place_by_subject(query, candidates)
+        )
+
+    def with_source(
+        self, query: PlacementQuery, placed: PlacedUpstream
+    ) -> PlacedUpstream:
+        """Add from where the upstream may copy the prompt's cache."""
+        if not query.shared_parts:
+            return placed
         source = self._sources.find(query.shared_parts, placed.instance)
         is_unread = not self._sources.has_read(
             query.shared_parts, placed.instance
--- a/src/bergamotshed/routing/slothome.py
+++ b/src/bergamotshed/routing/slothome.py
@@ -11,35 +11,37 @@
 slot.
 """
 
-__all__ = ('SlotHome', 'max_in_flight', 'upstream_of')
+__all__ = ('SlotHome', 'upstream_of')
 
 import asyncio
 import heapq
-import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..clock import Clock
 from ..reasons import Refusal
 from ..upstreams.types import Instance
 from .admission import Admission
+from .brittle import UpstreamRooms
 from .cache_source import ListedUpstreams
 from .fairqueue import Ticket
 from .inflight import InFlightTable
 from .types import Placement, PlacementRequest, Upstream
 
-#: Requests that an upstream gets beyond its slots, as a fraction of the slots:
-#: they start at once when a slot becomes free, while the release is still in
-#: transit to the home.
-OVERCOMMIT_SHARE = 0.25
 #: Requests that may wait for each slot; more would exceed their patience.
 MAX_WAITING_PER_SLOT = 4
 
 
+def _whole() -> float:
+    return 1
+
+
 class SlotHome:
     """Grants the slots of one service.
 
     :param grant_base: grants are numbered from here, so that a release for
         a previous home frees nothing
+    :param live_share: returns the part of the routers that are heard, whose
+        requests are counted here
     """
 
     def __init__(
@@ -49,8 +51,12 @@
         admission: Admission,
         clock: Clock,
         grant_base: int = 0,
+        live_share: Callable[[], float] = _whole,
     ) -> None:
         self._service = service
+        self._live_share = live_share
+        self._rooms = UpstreamRooms(clock)
+        self._borne: float | None = None
         self._listed = listed
         self._admission = admission
         self._clock = clock
@@ -79,6 +85,7 @@
         :param router: name of the requesting router
         """
         self._expire()
+        self._borne = request.borne
         ticket = self._ticket(router, request)
         if not self.waiting and self._start(ticket):
             return ticket.answer.result()
@@ -89,11 +96,25 @@
         self._refresh()
         return await self._wait(ticket)
 
-    def release(self, router: str, grant: int, *, has_run: bool) -> None:
-        """Release a slot; idempotent."""
-        if self._table.release(router, grant) is not None:
-            self._close_grant(grant, has_run=has_run)
-            self._refresh()
+    def release(
+        self,
+        router: str,
+        grant: int,
+        *,
+        has_run: bool,
+        was_rejected: bool = False,
+    ) -> None:
+        """Release a slot; idempotent.
+
+        :param was_rejected: the upstream turned the request away
+        """
+        name = self._table.release(router, grant)
+        if name is None:
+            return
+        if was_rejected:
+            self._rooms.record_rejection(name, self._table.count(name))
+        self._close_grant(grant, has_run=has_run)
+        self._refresh()
 
     def release_routers(self, routers: Iterable[str]) -> None:
         """Release all slots that these routers hold."""
@@ -152,7 +173,9 @@
         return True
 
     def _choose(self, request: PlacementRequest) -> Instance | None:
-        """Return the least loaded upstream; ``None`` if all are full."""
+        """Return the preferred or the least loaded upstream; ``None`` if all
+        are full.
+        """
         available = [
             (
                 self._table.count(instance.name) / instance.slots,
@@ -161,8 +184,12 @@
             )
             for instance in self._members
             if instance.name not in request.excluded
-            and self._table.count(instance.name) < max_in_flight(instance.slots)
+            and self._table.count(instance.name)
+            < self._rooms.capacity(instance, self._borne, self._live_share())
         ]
+        for _, name, instance in available:
+            if name == request.preferred:
+                return instance
         return min(available)[-1] if available else None
 
     def _refresh(self) -> None:
@@ -187,11 +214,6 @@
             self._admission.record_end(ticket.organisation, has_run=has_run)
 
 
-def max_in_flight(slots: int) -> int:
-    """Return the maximum number of requests in flight on an upstream."""
-    return slots + math.ceil(slots * OVERCOMMIT_SHARE)
-
-
 def upstream_of(instance: Instance) -> Upstream:
     """Return an instance in the form that placements use."""
     return Upstream(
--- a/tests/forwarding/broken_peer.py
+++ b/tests/forwarding/broken_peer.py
@@ -16,7 +16,11 @@
 
 from bergamotshed.clock import SystemClock
 from bergamotshed.forwarding.exchange import ExchangeObserver
-from bergamotshed.forwarding.types import AnswerSink, CallerHeaders
+from bergamotshed.forwarding.types import (
+    AnswerMetadata,
+    AnswerSink,
+    CallerHeaders,
+)
 from bergamotshed.upstreams.connection import UpstreamConnection
 from bergamotshed.upstreams.pool import ConnectionPool, PoolOptions
 from bergamotshed.upstreams.types import Instance, ReportedLoad
@@ -173,7 +177,9 @@
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
         """Ignore the load."""
 
-    def record_limit(self, instance: Instance, rate: float | None) -> None:
+    def record_limits(
+        self, instance: Instance, metadata: AnswerMetadata
+    ) -> None:
         """Ignore the limit."""
 
     def record_start(self, instance: Instance) -> None:
--- a/tests/gateway/test_brittle.py
+++ b/tests/gateway/test_brittle.py
@@ -222,6 +222,18 @@
         assert fleet.falls <= fleet.allowed_falls
 
 
+async def test_a_notice_that_ends_leaves_no_trace() -> None:
+    async with running_fleet(SLOTS, SLOTS, size=2) as fleet:
+        await fleet.play(2, callers=4)
+        for upstream in fleet.upstreams:
+            upstream.borne = None
+        await fleet.play(1, callers=4)
+        await asyncio.sleep(1)
+        shared = [each.gateway.fleet.shared for each in fleet.members]
+        await fleet.play(0.5, callers=4)
+        assert not any(each.slots.brittle.services for each in shared)
+
+
 async def test_upstreams_that_are_not_brittle_are_placed_as_before() -> None:
     async with running_fleet(SLOTS, SLOTS, size=2, borne=None) as fleet:
         await fleet.play(1, callers=6)
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from bergamotshed.routing.slothome import max_in_flight
+from bergamotshed.routing.brittle import max_in_flight
 from bergamotshed.routing.types import SharedSlots
 from tests.standins.rawupstream import RawRequest, sealed_answer
 from tests.waiting import until
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -10,7 +10,7 @@
 FOLDER = PACKAGE / 'platform'
 NAMES = re.compile(
     r'Bergamotshed-[A-Z]|bergamotshed-[a-z]+-[a-z]|BERGAMOTSHED_BOOT|'
-    r'Store-Era|Server-Limit|\bb.resumes\b|keyed\.(op|servers|status|routers|suspects)|'
+    r'Store-Era|Server-(Limit|Brittle)|\bb.resumes\b|keyed\.(op|servers|status|routers|suspects)|'
     r'/log-[a-z]+|\bkv-[a-z]+|'
     r'\btenants?\b|max_kb|\bwait_ms|first_offset|path_prefix.:|api_keys',
     re.IGNORECASE,
--- a/tests/routers/test_slothomes.py
+++ b/tests/routers/test_slothomes.py
@@ -10,8 +10,8 @@
 from bergamotshed.routers.mesh import PeerMesh
 from bergamotshed.routers.messages import GatewayHeartbeat
 from bergamotshed.routers.slothomes import SlotHomes
+from bergamotshed.routing.brittle import max_in_flight
 from bergamotshed.routing.cache_source import subject_order
-from bergamotshed.routing.slothome import max_in_flight
 from bergamotshed.routing.types import Outcome, Placement, PlacementRequest
 from bergamotshed.routing.view import RouterNode
 from tests.routing.test_affinity import FixedListing, instance
--- a/tests/routing/test_slothome.py
+++ b/tests/routing/test_slothome.py
@@ -15,9 +15,10 @@
     PlacedUpstream,
     PlacementQuery,
 )
+from bergamotshed.routing.brittle import max_in_flight
 from bergamotshed.routing.cache_source import CacheSources
 from bergamotshed.routing.prompt_readers import PromptReaders
-from bergamotshed.routing.slothome import SlotHome, max_in_flight
+from bergamotshed.routing.slothome import SlotHome
 from bergamotshed.routing.types import Placement, PlacementRequest
 from bergamotshed.routing.upstream_loads import ExchangeOutcome, UpstreamLoads
 from bergamotshed.upstreams.types import ReportedLoad
