Judge a crash only by checks that began after the answer broke off

A check now counts for what happened after it began, or 20 ms before, and those who need the same one share it (upstreams/liveness.py).

--- a/src/bergamotshed/forwarding/crash_detector.py
+++ b/src/bergamotshed/forwarding/crash_detector.py
@@ -12,7 +12,6 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass
-from datetime import timedelta
 
 from eliot import log_message
 
@@ -21,33 +20,19 @@
 from ..routing.hashing import stable_hash
 from ..routing.part_sightings import select_parts
 from ..routing.quarantine import FingerprintStatus, Quarantine
+from ..upstreams.liveness import LivenessChecks
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
-from ..upstreams.types import Instance, UpstreamNotReached
+from ..upstreams.types import Instance
 from .types import RoutedRequest
 
-#: Minimum interval between checks of one upstream, whose result is reused in
-#: between: a lost connection cuts many answers at once.
-CHECK_INTERVAL = timedelta(milliseconds=300)
 #: Upstreams that are connected to in order to tell a crash from a router that
 #: reaches none.
-CONTROL_PROBES = 3
-#: Maximum number of fingerprints of answered requests, and of results of
-#: checks, that are kept.
+CONTROL_PROBES = 8
+#: Maximum number of fingerprints of answered requests that are kept.
 MAX_REMEMBERED = 4096
 
 
-@dataclass(frozen=True, slots=True)
-class _ProbeResult:
-    """Whether an upstream accepted a connection.
-
-    :ivar probed_at: monotonic seconds
-    """
-
-    probed_at: float
-    is_alive: bool
-
-
 @dataclass(frozen=True, slots=True)
 class RequestTraits:
     """What a request has in common with others that crash upstreams.
@@ -72,9 +57,8 @@
     ) -> None:
         self._quarantine = quarantine
         self._registry = registry
-        self._pool = pool
+        self._checks = LivenessChecks(pool, clock)
         self._clock = clock
-        self._probe_results: dict[str, _ProbeResult] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._successes: OrderedDict[int, None] = OrderedDict()
 
@@ -126,10 +110,9 @@
         started_at: float,
         ended_at: float,
     ) -> None:
-        since = self._clock.boottime()
-        if await self._is_alive(instance):
+        if await self._checks.is_alive(instance.address, ended_at):
             return
-        if not await self._reaches_others(instance, since):
+        if not await self._reaches_others(instance, ended_at):
             log_message(
                 'upstream.crash_unproven',
                 upstream=instance.name,
@@ -155,33 +138,18 @@
         """Return whether an upstream other than the unreachable one can be
         connected to; true if there is no other.
 
-        :param since: boot time after which the connection must have been opened
+        :param since: monotonic time from which on a check counts
         """
         others = [
             other
             for other in self._registry.instances.values()
             if other.address != instance.address
         ]
-        if not others or self._pool.reach.was_reached_since(others, since):
-            return True
         drawn = random.sample(others, min(len(others), CONTROL_PROBES))
-        return any(await asyncio.gather(*map(self._is_alive, drawn)))
-
-    async def _is_alive(self, instance: Instance) -> bool:
-        cached = self._probe_results.get(instance.address)
-        valid_since = self._clock.monotonic() - CHECK_INTERVAL.total_seconds()
-        if cached is not None and cached.probed_at > valid_since:
-            return cached.is_alive
-        is_alive = True
-        try:
-            await self._pool.probe(instance.address)
-        except UpstreamNotReached:
-            is_alive = False
-        now = self._clock.monotonic()
-        self._probe_results[instance.address] = _ProbeResult(now, is_alive)
-        if len(self._probe_results) > MAX_REMEMBERED:
-            self._probe_results.clear()
-        return is_alive
+        checks = [
+            self._checks.is_alive(other.address, since) for other in drawn
+        ]
+        return not checks or any(await asyncio.gather(*checks))
 
 
 def request_traits(request: RoutedRequest) -> RequestTraits:
--- a/src/bergamotshed/upstreams/reach.py
+++ b/src/bergamotshed/upstreams/reach.py
@@ -19,7 +19,7 @@
 from .types import Instance
 
 #: Upstreams of a service that must have failed, if it has as many.
-MIN_FAILED = 4
+MIN_FAILED = 8
 #: Age from which on a failed connection says nothing any more.
 FAILURE_LIFETIME = timedelta(seconds=5)
 
@@ -56,13 +56,15 @@
         """
         return self._count_failed(upstreams) > 0
 
-    def was_reached_since(
-        self, upstreams: Iterable[Instance], since: float
-    ) -> bool:
-        """Return whether one could be connected to after a boot time."""
-        return any(
-            self._reached_at.get(instance.address, -math.inf) > since
-            for instance in upstreams
+    def by_last_failure(self, upstreams: Iterable[Instance]) -> list[Instance]:
+        """Return the upstreams, those that never failed first, the one that
+        failed last at the end.
+        """
+        return sorted(
+            upstreams,
+            key=lambda instance: self._failed_at.get(
+                instance.address, -math.inf
+            ),
         )
 
     def _count_failed(self, upstreams: Collection[Instance]) -> int:
--- a/src/bergamotshed/upstreams/reach_prober.py
+++ b/src/bergamotshed/upstreams/reach_prober.py
@@ -8,7 +8,6 @@
 __all__ = ('ReachProber',)
 
 import asyncio
-import random
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
@@ -22,7 +21,7 @@
 #: Time between two checks of whether a way is lost, or back.
 CHECK_INTERVAL = timedelta(milliseconds=200)
 #: Upstreams of a service that are connected to in each check.
-PROBED_UPSTREAMS = 3
+PROBED_UPSTREAMS = 4
 
 
 class ReachProber:
@@ -84,8 +83,8 @@
         drawn: list[Instance] = []
         for service in services:
             members = self._registry.members(service)
-            count = min(len(members), PROBED_UPSTREAMS)
-            drawn += random.sample(members, count)
+            ordered = self.pool.reach.by_last_failure(members)
+            drawn += ordered[:PROBED_UPSTREAMS]
         return drawn
 
     async def _probe(self, instance: Instance) -> None:
