--- a/tests/gateway/members.py
+++ b/tests/gateway/members.py
@@ -6,11 +6,11 @@
 the store of its own.
 """
 
-__all__ = ('REVOKE_MS', 'Member', 'start_member')
+__all__ = ('REVOKE_MS', 'Member', 'start_member', 'wait_until_acquainted')
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from datetime import timedelta
@@ -73,6 +73,17 @@
     return Member(gateway, relay, _count_reads(gateway))
 
 
+async def wait_until_acquainted(members: Sequence[Member]) -> None:
+    """Wait until each gateway has a heartbeat of all others."""
+    await until(
+        lambda: all(
+            len(member.gateway.fleet.heartbeats.latest_heartbeats)
+            >= len(members) - 1
+            for member in members
+        )
+    )
+
+
 def _count_reads(gateway: Gateway) -> Counter[Topic]:
     counter: Counter[Topic] = Counter()
     store: Any = gateway.fleet.store
--- a/tests/gateway/test_brittle.py
+++ b/tests/gateway/test_brittle.py
@@ -10,9 +10,8 @@
 import pytest
 
 from tests.standins.rawupstream import RawRequest, sealed_answer
-from tests.waiting import until
 
-from .members import Member, start_member
+from .members import Member, start_member, wait_until_acquainted
 from .scripts import full
 from .support import (
     UPSTREAMS,
@@ -171,13 +170,7 @@
         fleet = Fleet(env, processes, upstreams)
         for number in range(size):
             await fleet.start(f'gw-{number}')
-        await until(
-            lambda: all(
-                len(member.gateway.fleet.heartbeats.latest_heartbeats)
-                >= size - 1
-                for member in fleet.members
-            )
-        )
+        await wait_until_acquainted(fleet.members)
         yield fleet
 
 
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -15,7 +15,7 @@
 from tests.standins.rawupstream import RawRequest, sealed_answer
 from tests.waiting import until
 
-from .members import Member, start_member
+from .members import Member, start_member, wait_until_acquainted
 from .support import (
     UPSTREAMS,
     GatewayEnvironment,
@@ -155,13 +155,7 @@
         fleet = Fleet(env)
         for number in range(size):
             fleet.add(await start_member(processes, env, f'gw-{number}'))
-        await until(
-            lambda: all(
-                len(member.gateway.fleet.heartbeats.latest_heartbeats)
-                >= size - 1
-                for member in fleet.members
-            )
-        )
+        await wait_until_acquainted(fleet.members)
         yield fleet
 
 
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -11,7 +11,7 @@
 from tests.standins.rawupstream import RawRequest, sealed_answer
 from tests.waiting import until
 
-from .members import Member, start_member
+from .members import Member, start_member, wait_until_acquainted
 from .support import (
     GatewayEnvironment,
     RawResponse,
@@ -110,13 +110,7 @@
         fleet = Fleet(env, processes, named, arrivals)
         for number in range(size):
             await fleet.start(f'gw-{number}')
-        await until(
-            lambda: all(
-                len(member.gateway.fleet.heartbeats.latest_heartbeats)
-                >= size - 1
-                for member in fleet.members
-            )
-        )
+        await wait_until_acquainted(fleet.members)
         yield fleet
 
 
