--- a/src/bergamotshed/forwarding/answer_observer.py
+++ b/src/bergamotshed/forwarding/answer_observer.py
@@ -61,7 +61,7 @@
     ) -> None:
         """Record the limit that the upstream names and how brittle it is."""
         self._rates.record_limit(instance, metadata.max_rate, self._sent_at)
-        self._slots.record_borne(instance, metadata.borne)
+        self._slots.record_tolerance(instance, metadata.tolerance)
 
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
         """Record the load that an upstream reported."""
--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -321,7 +321,7 @@
             ending=result.outcome.value,
             detail=result.detail,
             upstream_max_rate=None if metadata is None else metadata.max_rate,
-            upstream_borne=None if metadata is None else metadata.borne,
+            upstream_tolerance=None if metadata is None else metadata.tolerance,
             body_end='' if metadata is None else metadata.delimitation.value,
             last_event=splitter.last_id,
             open_event_bytes=len(splitter.rest),
--- a/src/bergamotshed/forwarding/types.py
+++ b/src/bergamotshed/forwarding/types.py
@@ -129,7 +129,7 @@
     :ivar load: the load that the upstream reports; ``None`` if not stated
     :ivar max_rate: requests a second that the upstream takes from all routers
         together for as long as it says so; ``None`` for no limit
-    :ivar borne: rejections for want of room in a second that the upstream
+    :ivar tolerance: rejections for want of room in a second that the upstream
         bears before it falls over; ``None`` for any number
     :ivar caller_headers: headers that are passed on to the caller
     """
@@ -144,7 +144,7 @@
     keep_alive_s: float | None
     load: ReportedLoad | None
     max_rate: float | None
-    borne: float | None
+    tolerance: float | None
     caller_headers: CallerHeaders
 
 
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -71,7 +71,7 @@
     ) -> PlacedUpstream | Refusal:
         query = attempts.query
         slots = self._dependencies.slots
-        if slots.borne_by(query.service) is not None:
+        if slots.tolerance_of(query.service) is not None:
             return await self._reserve_brittle(attempts)
         if query.shared_parts:
             return await self._place_at_reader(attempts)
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -51,7 +51,7 @@
 _INTERNAL_ANSWER_HEADERS = frozenset(
     (
         names.LOAD,
-        names.REJECTIONS_BORNE,
+        names.REJECTION_TOLERANCE,
         names.REQUEST_RATE,
         names.NOT_EXECUTED,
         b'bergamotshed-instance-id',
@@ -124,7 +124,9 @@
             delimitation=head.delimitation,
             keep_alive_s=parse_keep_alive(by_name),
             load=_parse_load(by_name.get(names.LOAD, b'')),
-            borne=_parse_number(by_name.get(names.REJECTIONS_BORNE, b'')),
+            tolerance=_parse_number(
+                by_name.get(names.REJECTION_TOLERANCE, b'')
+            ),
             max_rate=_parse_number(by_name.get(names.REQUEST_RATE, b'')),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -21,7 +21,7 @@
     'OWN_PREFIXES',
     'PRIORITY',
     'PROMPT',
-    'REJECTIONS_BORNE',
+    'REJECTION_TOLERANCE',
     'REQUEST_RATE',
     'RESUMED_ATTEMPT',
     'SEAL',
@@ -82,7 +82,7 @@
 #: Requests a second that the upstream takes from all routers together.
 REQUEST_RATE = b'server-limit'
 #: Rejections for want of room in a second that the upstream bears.
-REJECTIONS_BORNE = b'server-brittle'
+REJECTION_TOLERANCE = b'server-brittle'
 
 #: Prefixes of headers that only routers set, except the callers' headers
 #: above; others with these prefixes are dropped from callers' requests.
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -134,7 +134,7 @@
     :ivar deadline: milliseconds remaining
     :ivar patience: longest wait in the queue in milliseconds; 0 for as long
         as the deadline allows
-    :ivar borne: rejections in a second that each upstream of the service bears;
+    :ivar tolerance: rejections in a second that each upstream bears;
         negative for any number
     """
 
@@ -151,7 +151,7 @@
     preferred: str = ''
     fingerprint: int = 0
     patience: int = 0
-    borne: float = -1
+    tolerance: float = -1
 
 
 class PlaceAnswer(Struct, frozen=True, array_like=True, tag=8):
--- a/src/bergamotshed/routers/placementcodec.py
+++ b/src/bergamotshed/routers/placementcodec.py
@@ -69,7 +69,7 @@
         preferred=request.preferred,
         fingerprint=request.fingerprint,
         patience=request.patience // MILLISECOND,
-        borne=-1 if request.borne is None else request.borne,
+        tolerance=-1 if request.tolerance is None else request.tolerance,
     )
 
 
@@ -89,7 +89,7 @@
         preferred=message.preferred,
         fingerprint=message.fingerprint,
         patience=message.patience * MILLISECOND,
-        borne=None if message.borne < 0 else message.borne,
+        tolerance=None if message.tolerance < 0 else message.tolerance,
     )
 
 
--- a/src/bergamotshed/routers/slothomes.py
+++ b/src/bergamotshed/routers/slothomes.py
@@ -91,24 +91,26 @@
         """Return whether the slots of a service are granted by a home."""
         instances = self._listed.members(service)
         routers = len(self._heartbeats.live_routers())
-        return self.borne_by(service) is not None or (
+        return self.tolerance_of(service) is not None or (
             bool(instances)
             and min(instance.slots for instance in instances) < routers
         )
 
-    def record_borne(self, instance: Instance, borne: float | None) -> None:
+    def record_tolerance(
+        self, instance: Instance, tolerance: float | None
+    ) -> None:
         """Record how many rejections in a second an upstream bears."""
-        if self.brittle.record_answer(instance, borne):
+        if self.brittle.record_answer(instance, tolerance):
             log_message(
                 'upstream.brittle',
                 upstream=instance.name,
                 service=instance.service,
-                borne=borne,
+                tolerance=tolerance,
             )
 
-    def borne_by(self, service: str) -> float | None:
+    def tolerance_of(self, service: str) -> float | None:
         """Return how many rejections in a second its upstreams bear."""
-        return self.brittle.borne_by(service)
+        return self.brittle.tolerance_of(service)
 
     async def reserve(
         self, request: PlacementRequest
@@ -118,9 +120,9 @@
         For brittle upstreams the next router takes the place of a home that
         does not answer.
         """
-        request = _with_borne(request, self.brittle)
+        request = _with_tolerance(request, self.brittle)
         homes = subject_order(request.service, self._heartbeats.live_routers())
-        count = 1 if request.borne is None else FALLBACK_HOMES
+        count = 1 if request.tolerance is None else FALLBACK_HOMES
         for home in homes[:count]:
             placed = await self._reserve_at(home, request)
             if placed is not None:
@@ -187,7 +189,7 @@
         self, peer: str, message: PlaceRequest
     ) -> Message:
         home = self._home_of(message.service)
-        request = _with_borne(placement_request_of(message), self.brittle)
+        request = _with_tolerance(placement_request_of(message), self.brittle)
         return place_answer_of(await home.place(peer, request))
 
     def _handle_release(self, peer: str, release: Release) -> None:
@@ -223,12 +225,12 @@
     return Release(grant, outcome_number(outcome))
 
 
-def _with_borne(
+def _with_tolerance(
     request: PlacementRequest, brittle: BrittleUpstreams
 ) -> PlacementRequest:
     """Add what this router knows if the sender does not know that the
     upstreams are brittle.
     """
-    if request.borne is not None:
+    if request.tolerance is not None:
         return request
-    return replace(request, borne=brittle.borne_by(request.service))
+    return replace(request, tolerance=brittle.tolerance_of(request.service))
--- a/src/bergamotshed/routing/brittle.py
+++ b/src/bergamotshed/routing/brittle.py
@@ -53,20 +53,26 @@
             if heard_at > expired_at
         )
 
-    def record_answer(self, instance: Instance, borne: float | None) -> bool:
+    def record_answer(
+        self, instance: Instance, tolerance: float | None
+    ) -> bool:
         """Record what an upstream said; return whether that is new.
 
-        :param borne: rejections in a second that it bears; ``None`` for any
+        :param tolerance: rejections in a second that it bears; ``None`` for any
         """
         _, known, _ = self._notices.pop(
             instance.incarnation, (instance.service, None, 0)
         )
-        if borne is not None:
+        if tolerance is not None:
             now = self._clock.monotonic()
-            self._notices[instance.incarnation] = (instance.service, borne, now)
-        return borne != known
-
-    def borne_by(self, service: str) -> float | None:
+            self._notices[instance.incarnation] = (
+                instance.service,
+                tolerance,
+                now,
+            )
+        return tolerance != known
+
+    def tolerance_of(self, service: str) -> float | None:
         """Return the rejections that each upstream of a service bears in a
         second; ``None`` if it is not brittle.
         """
@@ -75,8 +81,8 @@
         expired_at = self._clock.monotonic() - NOTICE_LIFETIME.total_seconds()
         return min(
             (
-                borne
-                for owner, borne, heard_at in self._notices.values()
+                tolerance
+                for owner, tolerance, heard_at in self._notices.values()
                 if owner == service and heard_at > expired_at
             ),
             default=None,
@@ -121,17 +127,19 @@
         room.rejected_at.append(self._clock.monotonic())
 
     def capacity(
-        self, instance: Instance, borne: float | None, share: float
+        self, instance: Instance, tolerance: float | None, share: float
     ) -> int:
         """Return how many requests an upstream may have in flight.
 
-        :param borne: rejections in a second that it bears; ``None`` for any
+        :param tolerance: rejections in a second that it bears; ``None`` for any
         :param share: part of the routers whose requests this home counts
         """
-        if borne is None:
+        if tolerance is None:
             return max_in_flight(instance.slots)
         room = self._rooms.get(instance.name, _Room())
-        if self._count_recent(room) >= max(1, borne * REJECTION_SHARE * share):
+        if self._count_recent(room) >= max(
+            1, tolerance * REJECTION_SHARE * share
+        ):
             return 0
         limit = self._limit(instance, room) * share
         now = self._clock.monotonic()
--- a/src/bergamotshed/routing/slothome.py
+++ b/src/bergamotshed/routing/slothome.py
@@ -56,7 +56,7 @@
         self._service = service
         self._live_share = live_share
         self._rooms = UpstreamRooms(clock)
-        self._borne: float | None = None
+        self._tolerance: float | None = None
         self._listed = listed
         self._admission = admission
         self._clock = clock
@@ -85,7 +85,7 @@
         :param router: name of the requesting router
         """
         self._expire()
-        self._borne = request.borne
+        self._tolerance = request.tolerance
         ticket = self._ticket(router, request)
         if not self.waiting and self._start(ticket):
             return ticket.answer.result()
@@ -185,7 +185,9 @@
             for instance in self._members
             if instance.name not in request.excluded
             and self._table.count(instance.name)
-            < self._rooms.capacity(instance, self._borne, self._live_share())
+            < self._rooms.capacity(
+                instance, self._tolerance, self._live_share()
+            )
         ]
         for _, name, instance in available:
             if name == request.preferred:
--- a/src/bergamotshed/routing/types.py
+++ b/src/bergamotshed/routing/types.py
@@ -67,7 +67,7 @@
     :ivar fingerprint: equal for equal requests; 0 if unknown
     :ivar patience: how long it may wait for a slot, where the deadline doesn't
         decide
-    :ivar borne: rejections in a second that each upstream of the service bears;
+    :ivar tolerance: rejections in a second that each upstream bears;
         ``None`` for any number
     """
 
@@ -84,7 +84,7 @@
     preferred: str = ''
     fingerprint: int = 0
     patience: timedelta = timedelta(0)
-    borne: float | None = None
+    tolerance: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,14 +141,16 @@
         """Return whether slots of a service must be reserved."""
 
     @abstractmethod
-    def record_borne(self, instance: Instance, borne: float | None) -> None:
+    def record_tolerance(
+        self, instance: Instance, tolerance: float | None
+    ) -> None:
         """Record how many rejections in a second an upstream bears.
 
-        :param borne: ``None`` for any number
+        :param tolerance: ``None`` for any number
         """
 
     @abstractmethod
-    def borne_by(self, service: str) -> float | None:
+    def tolerance_of(self, service: str) -> float | None:
         """Return how many rejections in a second each upstream of a service
         bears; ``None`` for any number.
         """
--- a/tests/gateway/test_brittle.py
+++ b/tests/gateway/test_brittle.py
@@ -26,7 +26,7 @@
 SLOTS = 6
 RUN_S = 0.25
 #: Rejections in a second that an upstream bears, as it says itself.
-BORNE = 3
+TOLERANCE = 3
 WINDOW_S = 1.0
 DOWN_S = 1.5
 #: Time after which the upstreams let fewer wait; the users allow three seconds.
@@ -46,11 +46,11 @@
     """Runs a few requests, turns others away, and falls over if too many.
 
     :ivar room: requests that it takes at once
-    :ivar borne: rejections in a second that it bears; ``None`` for any number
+    :ivar tolerance: rejections in a second that it bears; ``None`` for any
     """
 
     room: int
-    borne: int | None = BORNE
+    tolerance: int | None = TOLERANCE
     running: int = 0
     served: int = 0
     falls: int = 0
@@ -82,7 +82,7 @@
     ) -> None:
         self.rejected_at.append(now)
         recent = [each for each in self.rejected_at if each > now - WINDOW_S]
-        if self.borne is not None and len(recent) > self.borne:
+        if self.tolerance is not None and len(recent) > self.tolerance:
             if now > self.known_at:
                 self.falls += 1
                 self.down_until = now + DOWN_S
@@ -103,7 +103,11 @@
         return self.room if now > self.known_at else 4 * self.room
 
     def _notice(self) -> str:
-        return '' if self.borne is None else f'Server-Brittle: {self.borne}'
+        return (
+            ''
+            if self.tolerance is None
+            else f'Server-Brittle: {self.tolerance}'
+        )
 
 
 @dataclass(slots=True)
@@ -156,9 +160,9 @@
 
 @asynccontextmanager
 async def running_fleet(
-    *rooms: int, size: int = 3, borne: int | None = BORNE
+    *rooms: int, size: int = 3, tolerance: int | None = TOLERANCE
 ) -> AsyncIterator[Fleet]:
-    upstreams = [BrittleUpstream(room, borne) for room in rooms]
+    upstreams = [BrittleUpstream(room, tolerance) for room in rooms]
     async with AsyncExitStack() as stack:
         scripts: list[Script] = [each.answer for each in upstreams]
         env = await stack.enter_async_context(running_gateway(*scripts))
@@ -219,7 +223,7 @@
     async with running_fleet(SLOTS, SLOTS, size=2) as fleet:
         await fleet.play(2, callers=4)
         for upstream in fleet.upstreams:
-            upstream.borne = None
+            upstream.tolerance = None
         await fleet.play(1, callers=4)
         await asyncio.sleep(1)
         shared = [each.gateway.fleet.shared for each in fleet.members]
@@ -228,7 +232,7 @@
 
 
 async def test_upstreams_that_are_not_brittle_are_placed_as_before() -> None:
-    async with running_fleet(SLOTS, SLOTS, size=2, borne=None) as fleet:
+    async with running_fleet(SLOTS, SLOTS, size=2, tolerance=None) as fleet:
         await fleet.play(1, callers=6)
         assert {answer.status for answer in fleet.answers} == {200}
         for member in fleet.members:
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -27,8 +27,8 @@
     def __init__(self, slots: SharedSlots) -> None:
         self.reserve = slots.reserve
         self.release = slots.release
-        self.borne_by = slots.borne_by
-        self.record_borne = slots.record_borne
+        self.tolerance_of = slots.tolerance_of
+        self.record_tolerance = slots.record_tolerance
 
     def is_scarce(self, service: str) -> bool:
         return True
