--- a/review/1/case.py
+++ b/review/1/case.py
@@ -39,7 +39,7 @@
     stack.push_async_callback(store.close)
     engines = []
     for number in range(3):
-        engine = await s.Engine(f'i-{number}', lambda *words: None).start()
+        engine = await s.Engine(f'i-{number}', record).start()
         stack.push_async_callback(engine.close)
         engines.append(engine)
         store.put('keyed.servers', engine.name, engine.entry('desk'))
@@ -78,6 +78,7 @@
             answer = await s.call(
                 gateways[number % 2].callers, '/work/a', attempt, key='k'
             )
+            record(f'client: {attempt} at gw-{number % 2}:', answer)
             statuses[answer.status] = statuses.get(answer.status, 0) + 1
             await asyncio.sleep(0.05)
         record(f'{label}: {count} requests, answers by status:', statuses)
@@ -91,7 +92,9 @@
         store.put('keyed.servers', 'i-foreign', foreign_entry())
     await asyncio.sleep(4)
     store.put(
-        'keyed.servers', 'i-0', engines[0].entry('desk', state='draining', sequence=2)
+        'keyed.servers',
+        'i-0',
+        engines[0].entry('desk', state='draining', sequence=2),
     )
     drained_at = time.monotonic()
     record('acknowledged: engine i-0 is draining')
