--- a/review/1/case.py
+++ b/review/1/case.py
@@ -55,7 +55,7 @@
         'config',
         s.configuration(
             1,
-            [s.route('work', 'desk')],
+            [s.route('desk', 'desk')],
             [s.service('desk')],
             [{'name': 'org', 'api_keys': ['k'], 'priority': 1}],
         ),
@@ -76,7 +76,7 @@
             attempt = f'{label}-{number}'
             sent[attempt] = time.monotonic()
             answer = await s.call(
-                gateways[number % 2].callers, '/work/a', attempt, key='k'
+                gateways[number % 2].callers, '/desk/a', attempt, key='k'
             )
             record(f'client: {attempt} at gw-{number % 2}:', answer)
             statuses[answer.status] = statuses.get(answer.status, 0) + 1
