Skip list entries that can't be read, whatever they hold

Callers: a leaving upstream got requests until it exited; after a kill of all routers no request was served, for as long as the entry was in the list.

Cause: PlatformInstanceDecoder.decode turned msgspec's errors into InstanceMalformed, but not the RecursionError of nested values, which are parsed under unknown field names too, nor int()'s ValueError for a port with thousands of digits. The error left TopicFollower.run before the position moved; the restarted task read the same record again.

Fix: all errors of decoding are InstanceMalformed, counts and addresses are checked. A skipped entry names no upstream, the others hold, and the position moves on.

--- /dev/null
+++ b/src/bergamotshed/decoding.py
@@ -0,0 +1,29 @@
+"""
+bergamotshed.decoding
+~~~~~~~~~~~~~~~~~~~~~
+
+What decoders of data from other processes have in common.
+"""
+
+__all__ = ('DECODE_ERRORS', 'MAX_NUMBER_DIGITS', 'parse_number')
+
+from msgspec import MsgspecError
+
+#: What decoding malformed bytes raises. Deeply nested values, also of unknown
+#: fields, exceed the recursion limit; numbers may fit no duration.
+DECODE_ERRORS = (
+    MsgspecError,
+    UnicodeDecodeError,
+    RecursionError,
+    OverflowError,
+)
+
+#: Digits of the largest decimal number that is read; more fit no 64-bit
+#: integer, and ``int`` refuses thousands of them.
+MAX_NUMBER_DIGITS = 18
+
+
+def parse_number(text: str) -> int | None:
+    """Return a decimal number; ``None`` if it is malformed or too large."""
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= MAX_NUMBER_DIGITS else None
--- a/src/bergamotshed/platform/instances.py
+++ b/src/bergamotshed/platform/instances.py
@@ -7,9 +7,13 @@
 
 __all__ = ('PlatformInstanceDecoder',)
 
-from msgspec import MsgspecError, Struct, field
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
 from msgspec.json import Decoder
 
+from ..decoding import DECODE_ERRORS, parse_number
 from ..upstreams.registry import InstanceDecoder, InstanceMalformed
 from ..upstreams.types import Instance
 
@@ -17,6 +21,9 @@
 DRAINING = 'draining'
 MAX_PORT = 65_535
 
+#: Counts travel between routers as 64-bit integers.
+Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+
 
 class ModelBody(Struct):
     """A model that an upstream serves."""
@@ -36,10 +43,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: str
-    sequence: int
-    born: int = 0
+    sequence: Count
+    born: Count = 0
     version: str = ''
     models: list[ModelBody] = field(default_factory=list)
 
@@ -54,12 +61,13 @@
         """Decode an entry."""
         try:
             body = _decoder.decode(value)
-        except MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise InstanceMalformed(str(error)) from error
+        if not _is_header_value(name):
+            raise InstanceMalformed('the name does not fit into a header')
         if body.state not in {READY, DRAINING}:
             raise InstanceMalformed(f'unknown state {body.state!r}')
-        _, separator, port = body.address.rpartition(':')
-        if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+        if not _is_address(body.address):
             raise InstanceMalformed(f'malformed address {body.address!r}')
         return Instance(
             name=name,
@@ -73,3 +81,19 @@
             models=frozenset(model.name for model in body.models),
             version=body.version,
         )
+
+
+def _is_header_value(name: str) -> bool:
+    return name.isascii() and name.isprintable() and name.split() == [name]
+
+
+def _is_address(text: str) -> bool:
+    host, _, port_text = text.rpartition(':')
+    port = parse_number(port_text)
+    if port is None or not 0 < port <= MAX_PORT:
+        return False
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return True
