Every decoder of other processes' bytes rejects what it can't read

Cause: the errors of decoding were listed at each call, mostly without RecursionError. A nested listing or router entry ended its follower; a nested message ended the task of a peer's connection; a timeout of 1e300 ms raised OverflowError; an event's id, a load report or a prompt part with thousands of digits raised ValueError within a request.

Fix: DECODE_ERRORS in one place for all decoders of store, peers, upstreams and operators; numbers in text go through parse_number. The checks of an upstream's entry move from the adapter to the product.

--- a/src/bergamotshed/callers/parse.py
+++ b/src/bergamotshed/callers/parse.py
@@ -15,9 +15,10 @@
 from typing import Annotated
 
 from aiohttp import ClientError, web
-from msgspec import DecodeError, Meta, Struct
+from msgspec import Meta, Struct
 from msgspec.json import Decoder
 
+from ..decoding import DECODE_ERRORS
 from ..dispatch.types import CallOptions, ChatCall, PlainCall
 from ..engines.types import ChatMessage
 from .errors import BadRequest
@@ -96,7 +97,7 @@
         raw_body = await self._read_body(request)
         try:
             body = self._chat_decoder.decode(raw_body)
-        except (DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             raise BadRequest(f'the body is malformed: {error}') from error
         model, _, adapter = body.model.partition('+')
         messages = tuple(_message(message) for message in body.messages)
--- a/src/bergamotshed/control/claimrecords.py
+++ b/src/bergamotshed/control/claimrecords.py
@@ -18,9 +18,10 @@
 from hashlib import blake2b
 from uuid import UUID
 
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
 
+from ..decoding import DECODE_ERRORS
 from ..routing.claimtable import (
     ClaimEntry,
     Entry,
@@ -94,7 +95,7 @@
     """Parse a payload; one that can't be decoded yields no entries."""
     try:
         wire_entries = _DECODER.decode(payload)
-    except (DecodeError, ValidationError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return ()
     return tuple(_from_wire(wire) for wire in wire_entries)
 
--- a/src/bergamotshed/control/lease_fold.py
+++ b/src/bergamotshed/control/lease_fold.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..log.types import LogPage
 
 LEASES_STREAM = 'leases'
@@ -178,5 +179,5 @@
     """Return the record, or ``None`` if the payload isn't a lease record."""
     try:
         return msgspec.msgpack.decode(payload, type=LeaseRecord)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
--- a/src/bergamotshed/control/records.py
+++ b/src/bergamotshed/control/records.py
@@ -20,9 +20,12 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..fleet import Fleet
 from ..fleet.delta import FleetDelta
 
+_PAYLOAD_ERRORS = (zlib.error, *DECODE_ERRORS)
+
 CONFIGURATION_STREAM = 'configuration'
 
 
@@ -88,7 +91,7 @@
     """Return the record, or ``None`` if the payload is not a valid record."""
     try:
         return _decoder.decode(_decompress(payload))
-    except (msgspec.DecodeError, zlib.error):
+    except _PAYLOAD_ERRORS:
         return None
 
 
--- a/src/bergamotshed/decoding.py
+++ b/src/bergamotshed/decoding.py
@@ -5,7 +5,12 @@
 What decoders of data from other processes have in common.
 """
 
-__all__ = ('DECODE_ERRORS', 'MAX_NUMBER_DIGITS', 'parse_number')
+__all__ = (
+    'DECODE_ERRORS',
+    'MAX_NUMBER_DIGITS',
+    'parse_number',
+    'parse_numbers',
+)
 
 from msgspec import MsgspecError
 
@@ -27,3 +32,10 @@
     """Return a decimal number; ``None`` if it is malformed or too large."""
     is_number = text.isascii() and text.isdecimal()
     return int(text) if is_number and len(text) <= MAX_NUMBER_DIGITS else None
+
+
+def parse_numbers(text: str) -> tuple[int, ...]:
+    """Return comma-separated decimal numbers; none if one is malformed."""
+    numbers = [parse_number(part.strip()) for part in text.split(',')]
+    valid = tuple(number for number in numbers if number is not None)
+    return valid if len(valid) == len(numbers) else ()
--- a/src/bergamotshed/engines/client.py
+++ b/src/bergamotshed/engines/client.py
@@ -18,10 +18,10 @@
     ClientSession,
     ClientTimeout,
 )
-from msgspec import DecodeError
 from msgspec.json import Decoder, encode
 
 from ..clock import Clock
+from ..decoding import DECODE_ERRORS
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .assemble import StreamAssembler
 from .event_parser import EventParser
@@ -112,7 +112,7 @@
         answer = await self._call('GET', f'http://{address}/v1/load', None)
         try:
             return self._load_decoder.decode(answer)
-        except DecodeError as error:
+        except DECODE_ERRORS as error:
             raise EngineCut('the load report is malformed') from error
 
     async def order(self, address: str, order: Order) -> None:
--- a/src/bergamotshed/engines/event_parser.py
+++ b/src/bergamotshed/engines/event_parser.py
@@ -9,9 +9,10 @@
 
 from collections.abc import Iterator
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 from msgspec.json import Decoder
 
+from ..decoding import DECODE_ERRORS
 from .types import Chunk, EngineCut, Finish
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -57,7 +58,7 @@
     def _parse_event(self, payload: bytes) -> Chunk | Finish:
         try:
             event = self._decode(payload)
-        except DecodeError as error:
+        except DECODE_ERRORS as error:
             raise EngineCut('the engine sent a malformed event') from error
         if not event.finish:
             return Chunk(event.request, event.attempt, event.offset, event.text)
--- a/src/bergamotshed/engines/transport.py
+++ b/src/bergamotshed/engines/transport.py
@@ -18,10 +18,11 @@
     ClientTimeout,
     ConnectionTimeoutError,
 )
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 from msgspec.json import Decoder
 
 from ..clock import Clock
+from ..decoding import DECODE_ERRORS
 from ..retry_after import parse_retry_after
 from .types import (
     EngineCut,
@@ -127,6 +128,6 @@
 def _to_order_error(body: bytes) -> EngineError:
     try:
         refusal = _refusal_decoder.decode(body)
-    except DecodeError:
+    except DECODE_ERRORS:
         return EngineRejected(HTTP_CONFLICT, 'the order was refused')
     return OrderRefused(refusal.fence)
--- a/src/bergamotshed/fleet/codec.py
+++ b/src/bergamotshed/fleet/codec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from .check import check_fleet
 from .model import Fleet
 from .option_errors import option_error
@@ -32,9 +33,9 @@
     """
     try:
         fleet = msgspec.json.decode(text, type=Fleet)
-    except msgspec.DecodeError as error:
-        raise option_error(file, str(error)) from error
     except UnicodeDecodeError as error:
         raise option_error(file, 'Expected text in UTF-8') from error
+    except DECODE_ERRORS as error:
+        raise option_error(file, str(error)) from error
     check_fleet(fleet, file)
     return fleet
--- a/src/bergamotshed/forwarding/events.py
+++ b/src/bergamotshed/forwarding/events.py
@@ -16,6 +16,7 @@
 
 import re
 
+from ..decoding import parse_number
 from ..errors import BergamotshedError
 
 # A line ends with CRLF, LF or CR; the two bytes of a CRLF are one line end.
@@ -103,7 +104,9 @@
         found = _EVENT_ID.search(event)
         if found is None:
             return True
-        number = int(found[1])
+        number = parse_number(found[1].decode())
+        if number is None:
+            raise EventOrderError(f'an id of {len(found[1])} digits')
         if self.last_id is not None:
             if number <= self.last_id:
                 return False
--- a/src/bergamotshed/log/client.py
+++ b/src/bergamotshed/log/client.py
@@ -26,9 +26,12 @@
 )
 
 from ..clock import Clock, SystemClock
+from ..decoding import DECODE_ERRORS
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .types import Log, LogAnswerLost, LogPage, LogUnavailable, Record
 
+_CALL_ERRORS = (ClientError, OSError, *DECODE_ERRORS)
+
 PEER = 'log'
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT = timedelta(seconds=3)
@@ -109,7 +112,7 @@
             raise LogUnavailable(f'connection failed: {error}') from error
         except InvalidURL as error:
             raise LogUnavailable(f'invalid URL: {error}') from error
-        except (ClientError, OSError, msgspec.MsgspecError) as error:
+        except _CALL_ERRORS as error:
             raise LogAnswerLost(f'no complete answer: {error!r}') from error
 
     async def read(
@@ -128,7 +131,7 @@
         """
         try:
             body = await self._read(stream, start, limit, wait)
-        except (ClientError, OSError, msgspec.MsgspecError) as error:
+        except _CALL_ERRORS as error:
             raise LogUnavailable(f'read failed: {error!r}') from error
         records = tuple(_to_record(record) for record in body.records)
         return LogPage(body.first, body.next, records)
--- a/src/bergamotshed/platform/configuration.py
+++ b/src/bergamotshed/platform/configuration.py
@@ -9,9 +9,10 @@
 
 from datetime import timedelta
 
-from msgspec import MsgspecError, Struct, field
+from msgspec import Struct, field
 from msgspec.json import Decoder
 
+from ..decoding import DECODE_ERRORS
 from ..routes.current_table import RoutingDataDecodeError, RoutingDataDecoder
 from ..routes.types import (
     Organisation,
@@ -112,24 +113,25 @@
     def decode(self, value: bytes) -> RoutingData:
         """Decode one version."""
         try:
-            body = _decoder.decode(value)
-        except MsgspecError as error:
+            return _routing_data(_decoder.decode(value))
+        except DECODE_ERRORS as error:
             raise RoutingDataDecodeError(str(error)) from error
-        tenants = body.tenants or []
-        return RoutingData(
-            version=body.version,
-            routes=tuple(map(_route, body.routes)),
-            services={
-                service.name: _service(service) for service in body.services
-            },
-            keys={
-                key: Organisation(tenant.name, tenant.priority)
-                for tenant in tenants
-                for key in tenant.api_keys
-            },
-            requires_key=bool(tenants),
-            limits=_limits(body.limits),
-        )
+
+
+def _routing_data(body: ConfigurationBody) -> RoutingData:
+    tenants = body.tenants or []
+    return RoutingData(
+        version=body.version,
+        routes=tuple(map(_route, body.routes)),
+        services={service.name: _service(service) for service in body.services},
+        keys={
+            key: Organisation(tenant.name, tenant.priority)
+            for tenant in tenants
+            for key in tenant.api_keys
+        },
+        requires_key=bool(tenants),
+        limits=_limits(body.limits),
+    )
 
 
 def _route(body: RouteBody) -> Route:
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
+from ..decoding import parse_number, parse_numbers
 from ..forwarding.dialect import Dialect, RequestMalformed
 from ..forwarding.types import (
     AnswerMetadata,
@@ -197,22 +198,20 @@
     parts = []
     for entry in value.split(','):
         name, _, tokens = entry.strip().partition(':')
-        if name and tokens.isdecimal():
-            parts.append(PromptPart(name, int(tokens)))
+        count = parse_number(tokens)
+        if name and count is not None:
+            parts.append(PromptPart(name, count))
     return tuple(parts)
 
 
 def _parse_output_tokens(value: bytes) -> int:
     tokens = value.rpartition(b',')[2].strip()
-    return int(tokens) if tokens.isdigit() else 0
+    return parse_number(tokens.decode('latin-1')) or 0
 
 
 def _parse_load(value: bytes) -> ReportedLoad | None:
-    numbers = [part.strip() for part in value.split(b',')]
-    if len(numbers) != LOAD_FIELD_COUNT or not all(map(bytes.isdigit, numbers)):
-        return None
-    running, waiting, slots = map(int, numbers)
-    return ReportedLoad(running, waiting, slots)
+    numbers = parse_numbers(value.decode('latin-1'))
+    return ReportedLoad(*numbers) if len(numbers) == LOAD_FIELD_COUNT else None
 
 
 def _parse_number(value: bytes) -> float | None:
--- a/src/bergamotshed/platform/instances.py
+++ b/src/bergamotshed/platform/instances.py
@@ -7,22 +7,16 @@
 
 __all__ = ('PlatformInstanceDecoder',)
 
-from ipaddress import AddressValueError, IPv4Address
-from typing import Annotated
-
-from msgspec import Meta, Struct, field
+from msgspec import Struct, field
 from msgspec.json import Decoder
 
-from ..decoding import DECODE_ERRORS, parse_number
-from ..upstreams.registry import InstanceDecoder, InstanceMalformed
+from ..decoding import DECODE_ERRORS
+from ..upstreams.instance_checks import InstanceMalformed, check_instance
+from ..upstreams.registry import InstanceDecoder
 from ..upstreams.types import Instance
 
 READY = 'ready'
 DRAINING = 'draining'
-MAX_PORT = 65_535
-
-#: Counts travel between routers as 64-bit integers.
-Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 
 
 class ModelBody(Struct):
@@ -43,10 +37,10 @@
     service: str
     address: str
     zone: str
-    slots: Count
+    slots: int
     state: str
-    sequence: Count
-    born: Count = 0
+    sequence: int
+    born: int = 0
     version: str = ''
     models: list[ModelBody] = field(default_factory=list)
 
@@ -63,37 +57,19 @@
             body = _decoder.decode(value)
         except DECODE_ERRORS as error:
             raise InstanceMalformed(str(error)) from error
-        if not _is_header_value(name):
-            raise InstanceMalformed('the name does not fit into a header')
         if body.state not in {READY, DRAINING}:
             raise InstanceMalformed(f'unknown state {body.state!r}')
-        if not _is_address(body.address):
-            raise InstanceMalformed(f'malformed address {body.address!r}')
-        return Instance(
+        instance = Instance(
             name=name,
             service=body.service,
             address=body.address,
             domain=body.zone,
-            slots=max(1, body.slots),
+            slots=body.slots or 1,
             leaving=body.state == DRAINING,
             born=body.born,
             sequence=body.sequence,
             models=frozenset(model.name for model in body.models),
             version=body.version,
         )
-
-
-def _is_header_value(name: str) -> bool:
-    return name.isascii() and name.isprintable() and name.split() == [name]
-
-
-def _is_address(text: str) -> bool:
-    host, _, port_text = text.rpartition(':')
-    port = parse_number(port_text)
-    if port is None or not 0 < port <= MAX_PORT:
-        return False
-    try:
-        IPv4Address(host)
-    except AddressValueError:
-        return False
-    return True
+        check_instance(instance)
+        return instance
--- a/src/bergamotshed/platform/store.py
+++ b/src/bergamotshed/platform/store.py
@@ -5,7 +5,7 @@
 HTTP client of the platform's store.
 """
 
-__all__ = ('PlatformStore',)
+__all__ = ('PlatformStore', 'decode_page', 'split_records')
 
 import struct
 from collections.abc import Iterator
@@ -16,6 +16,7 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from ..decoding import DECODE_ERRORS
 from ..store.eras import EraReader
 from ..store.types import (
     Changes,
@@ -90,7 +91,7 @@
         end: Position | None = None
         while True:
             answer = await self._call('GET', '/log-newest', query, timedelta(0))
-            page = _decode_page(answer.body)
+            page = decode_page(answer.body)
             entries.extend(
                 Entry(entry.key, entry.value) for entry in page.entries
             )
@@ -119,7 +120,7 @@
                 f'/log-read: the era is {answer.era}, not {start.era}',
                 answer.era,
             )
-        records = tuple(_split_records(answer.body))
+        records = tuple(split_records(answer.body))
         return Changes(
             tuple(_decode_record(record) for record in records),
             start.advanced_by(len(records)),
@@ -187,14 +188,14 @@
             return response.status, StoreAnswer(body, era)
 
 
-def _decode_page(body: bytes) -> NewestBody:
+def decode_page(body: bytes) -> NewestBody:
     try:
         return msgspec.json.decode(body, type=NewestBody)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise StoreUnavailable(f'malformed listing: {error}') from error
 
 
-def _split_records(body: bytes) -> Iterator[bytes]:
+def split_records(body: bytes) -> Iterator[bytes]:
     """Split a body into its records.
 
     They follow a header with the end offset and the first retained offset.
--- a/src/bergamotshed/roster/types.py
+++ b/src/bergamotshed/roster/types.py
@@ -7,7 +7,9 @@
 
 __all__ = ('RosterEntry', 'decode_entry', 'encode_entry')
 
-from msgspec import DecodeError, Struct, json
+from msgspec import Struct, json
+
+from ..decoding import DECODE_ERRORS
 
 _encoder = json.Encoder()
 
@@ -45,5 +47,5 @@
     """Return a stored entry; ``None`` if it is malformed."""
     try:
         return _decoder.decode(value)
-    except DecodeError:
+    except DECODE_ERRORS:
         return None
--- a/src/bergamotshed/routers/configuration.py
+++ b/src/bergamotshed/routers/configuration.py
@@ -12,15 +12,18 @@
 from contextlib import suppress
 from datetime import timedelta
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from ..control.types import ConfigurationInForce
+from ..decoding import DECODE_ERRORS
 from ..fleet import Fleet
 from ..routing.membership import Membership
 from .errors import PeerMessageError
 from .mesh import PeerMesh
 from .messages import ConfigurationAnswer, ConfigurationRequest, Message
 
+_PAYLOAD_ERRORS = (zlib.error, *DECODE_ERRORS)
+
 #: How long to wait for a peer's configuration.
 PULL_TIMEOUT = timedelta(seconds=1)
 
@@ -89,5 +92,5 @@
     try:
         unpacked = unpacker.decompress(payload, MAX_DECOMPRESSED_BYTES)
         return msgpack.decode(unpacked, type=Fleet)
-    except (zlib.error, DecodeError, ValidationError) as error:
+    except _PAYLOAD_ERRORS as error:
         raise PeerMessageError(str(error)) from error
--- a/src/bergamotshed/routers/relayframes.py
+++ b/src/bergamotshed/routers/relayframes.py
@@ -25,6 +25,7 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from .errors import PeerMessageError
 
 LENGTH_BYTES = 4
@@ -114,5 +115,5 @@
         return _decoder.decode(await reader.readexactly(length))
     except asyncio.IncompleteReadError as error:
         raise RelayFrameError('the answer ended within a frame') from error
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise RelayFrameError(f'malformed frame: {error}') from error
--- a/src/bergamotshed/routers/relayserver.py
+++ b/src/bergamotshed/routers/relayserver.py
@@ -19,6 +19,7 @@
 from eliot import log_message
 
 from ..clock import Clock
+from ..decoding import DECODE_ERRORS
 from ..forwarding.types import (
     AnswerSink,
     CallerHeaders,
@@ -135,7 +136,7 @@
             payload += piece
         try:
             routed = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             log_message('relay.malformed', detail=str(error))
             return web.Response(status=HTTPStatus.BAD_REQUEST)
         self.in_flight += 1
--- a/src/bergamotshed/routers/suspectstore.py
+++ b/src/bergamotshed/routers/suspectstore.py
@@ -15,10 +15,13 @@
 
 from ..backoff import Backoff
 from ..clock import Clock
+from ..decoding import DECODE_ERRORS
 from ..routing.crashes import Crash, CrashReport, PartSighting
 from ..routing.part_quarantine import PartQuarantine
 from ..store.types import Entry, KeyedStore, StoreError, Topic
 
+_ENTRY_ERRORS = (ValueError, *DECODE_ERRORS)
+
 MILLISECOND = timedelta(milliseconds=1)
 #: Time between two comparisons of the suspects with what was written.
 CHECK_INTERVAL = timedelta(milliseconds=500)
@@ -89,13 +92,14 @@
             crashes = msgspec.msgpack.decode(
                 entry.value, type=tuple[StoredCrash, ...]
             )
-        except (ValueError, msgspec.MsgspecError) as error:
+            now = self._clock.now()
+            reports = [_report_of(part, crash, now) for crash in crashes]
+        except _ENTRY_ERRORS as error:
             log_message('suspects.malformed', key=entry.key, detail=str(error))
             return
-        self._written[part] = len(crashes)
-        now = self._clock.now()
-        for crash in crashes:
-            self._parts.record_crash(_report_of(part, crash, now))
+        self._written[part] = len(reports)
+        for report in reports:
+            self._parts.record_crash(report)
 
     async def _write_changes(self) -> bool:
         """Write what changed; return whether the store acknowledged it."""
--- a/src/bergamotshed/routers/wire.py
+++ b/src/bergamotshed/routers/wire.py
@@ -7,9 +7,10 @@
 
 __all__ = ('Envelope', 'decode', 'encode')
 
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
 
+from ..decoding import DECODE_ERRORS
 from .errors import PeerMessageError
 from .messages import Message
 
@@ -41,5 +42,5 @@
     """
     try:
         return _DECODER.decode(frame)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise PeerMessageError(str(error)) from error
--- a/src/bergamotshed/store/eras.py
+++ b/src/bergamotshed/store/eras.py
@@ -9,7 +9,8 @@
 
 from eliot import log_message
 
-MAX_DIGITS = 18
+from ..decoding import parse_number
+
 MAX_LOGGED_CHARACTERS = 80
 
 
@@ -33,11 +34,10 @@
             if self._newest is not None:
                 self._report('missing')
             return None
-        is_number = text.isascii() and text.isdecimal()
-        if not is_number or len(text) > MAX_DIGITS:
+        era = parse_number(text)
+        if era is None:
             self._report(text)
             return None
-        era = int(text)
         if self._newest is not None and era < self._newest:
             self._report(text)
             return era
--- a/src/bergamotshed/upstreams/registry.py
+++ b/src/bergamotshed/upstreams/registry.py
@@ -6,7 +6,7 @@
 the same id, and entries that expired during an outage of the store.
 """
 
-__all__ = ('InstanceDecoder', 'InstanceMalformed', 'UpstreamRegistry')
+__all__ = ('InstanceDecoder', 'UpstreamRegistry')
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
@@ -14,9 +14,9 @@
 from eliot import log_message
 
 from ..clock import Clock
-from ..errors import BergamotshedError
 from ..store.health import RETURN_WINDOW, StoreHealth
 from ..store.types import Entry, TopicConsumer
+from .instance_checks import InstanceMalformed
 from .types import Instance
 from .version_history import VersionHistory
 
@@ -25,10 +25,6 @@
 MAX_REMEMBERED = 4096
 
 
-class InstanceMalformed(BergamotshedError):
-    """A stored entry does not describe a usable upstream."""
-
-
 class InstanceDecoder(ABC):
     """Decodes stored entries; override the method."""
 
--- a/src/bergamotshed/vms/client.py
+++ b/src/bergamotshed/vms/client.py
@@ -18,9 +18,12 @@
     hdrs,
 )
 
+from ..decoding import DECODE_ERRORS
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .types import Vm, VmList, VmListError, VmRole, VmState
 
+_CALL_ERRORS = (ClientError, OSError, *DECODE_ERRORS)
+
 PEER = 'vms'
 TIMEOUT = ClientTimeout(total=3, sock_connect=1)
 
@@ -78,7 +81,7 @@
         """
         try:
             await self._refresh()
-        except (ClientError, OSError, msgspec.MsgspecError) as error:
+        except _CALL_ERRORS as error:
             raise VmListError(f'read failed: {error!r}') from error
         return self._vms
 
@@ -107,7 +110,7 @@
 def _decode_vm(entry: msgspec.Raw) -> Vm | None:
     try:
         body = msgspec.json.decode(entry, type=VmBody)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
     return Vm(
         name=body.name,
--- a/src/bergamotshed/weights/client.py
+++ b/src/bergamotshed/weights/client.py
@@ -19,6 +19,7 @@
     hdrs,
 )
 
+from ..decoding import DECODE_ERRORS
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .types import (
     WeightsRequest,
@@ -27,6 +28,8 @@
     WeightStoreUnavailable,
 )
 
+_CALL_ERRORS = (ClientError, OSError, *DECODE_ERRORS)
+
 PEER = 'weights'
 TIMEOUT = ClientTimeout(total=3, sock_connect=1)
 DEFAULT_RETRY_AFTER = timedelta(seconds=1)
@@ -72,7 +75,7 @@
         body = FetchBody(request.model, request.version, request.engine)
         try:
             return await self._fetch(msgspec.json.encode(body))
-        except (ClientError, OSError, msgspec.MsgspecError) as error:
+        except _CALL_ERRORS as error:
             raise WeightStoreUnavailable(
                 f'no ticket received: {error!r}'
             ) from error
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -11,7 +11,8 @@
 from bergamotshed.store.follower import FollowerOptions, TopicFollower
 from bergamotshed.store.health import StoreHealth
 from bergamotshed.store.types import Changes, Entry, Listing, Topic
-from bergamotshed.upstreams.registry import InstanceMalformed, UpstreamRegistry
+from bergamotshed.upstreams.instance_checks import InstanceMalformed
+from bergamotshed.upstreams.registry import UpstreamRegistry
 from tests.store.positions import at
 from tests.store.test_follower import ScriptedStore
 
--- a/tests/routers/test_mesh.py
+++ b/tests/routers/test_mesh.py
@@ -213,7 +213,15 @@
             context.destroy(0)
 
 
-MALFORMED = [b'', b'\x00', b'\xc1', b'[1]', b'\x92\x00\x92\x63\x01', b'x' * 99]
+MALFORMED = [
+    b'',
+    b'\x00',
+    b'\xc1',
+    b'[1]',
+    b'\x92\x00\x92\x63\x01',
+    b'x' * 99,
+    b'\x9f\x00\x92\x01' + b'\x91' * 5000,
+]
 
 
 async def test_malformed_frames_are_counted_and_ignored() -> None:
--- a/tests/routers/test_suspectstore.py
+++ b/tests/routers/test_suspectstore.py
@@ -25,7 +25,13 @@
 PART = 0xBAD
 SHORTLY = timedelta(milliseconds=1)
 # Values of the entry of a part that another build or writer may have left.
-MALFORMED = {'no MessagePack': b'\xc1', 'another type': b'\x01', 'text': b'x'}
+MALFORMED = {
+    'no MessagePack': b'\xc1',
+    'another type': b'\x01',
+    'text': b'x',
+    'nested': b'\x91\x96\xa1u\xa1b\x00\x00' + b'\x91' * 5000,
+    'noticed before all dates': b'\x91\x94\xa1u\xa1b\xd3\x80' + bytes(8),
+}
 
 
 class MemoryStore(KeyedStore):
