A read that stops short confirms nothing

Cause: an answer of the store is limited in size. PlatformStore.read ignored the end offset at its head, so each part counted as the newest state as of its read, and CurrentRoutingTable admitted keys by the version in it. On related paths: peers that read through such a router were told the same time (RecentChanges.read_at); an answer without the offsets was taken for one without changes; an empty page of a listing that says that more follow ended the listing; an answer that begins later than asked was numbered wrongly. The log of the router program was read through: its readers compare the position with the end.

The stand-in had no limit before.

Fix: changes say whether they reach the end. What precedes is applied with the time of the last complete read, and read on at once, without pause. Answers that stop short otherwise are errors.

--- a/src/bergamotshed/platform/store.py
+++ b/src/bergamotshed/platform/store.py
@@ -5,7 +5,7 @@
 HTTP client of the platform's store.
 """
 
-__all__ = ('PlatformStore', 'decode_page', 'split_records')
+__all__ = ('PlatformStore', 'decode_page', 'decode_records')
 
 import struct
 from collections.abc import Iterator
@@ -17,6 +17,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from ..decoding import DECODE_ERRORS
+from ..store.changes import changes_since
 from ..store.eras import EraReader
 from ..store.types import (
     Changes,
@@ -100,8 +101,10 @@
             end = Position(answer.era, page.end) if end is None else end
             if answer.era != end.era:
                 raise StoreUnavailable('the era changed during the listing')
-            if not page.has_more or not page.entries:
+            if not page.has_more:
                 return Listing(tuple(entries), end)
+            if not page.entries:
+                raise StoreUnavailable('a page is empty, but not the last one')
             query = {**query, 'after': page.entries[-1].key}
 
     async def read(
@@ -120,11 +123,7 @@
                 f'/log-read: the era is {answer.era}, not {start.era}',
                 answer.era,
             )
-        records = tuple(split_records(answer.body))
-        return Changes(
-            tuple(_decode_record(record) for record in records),
-            start.advanced_by(len(records)),
-        )
+        return decode_records(answer.body, start)
 
     async def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Append one keyed record."""
@@ -195,18 +194,19 @@
         raise StoreUnavailable(f'malformed listing: {error}') from error
 
 
-def split_records(body: bytes) -> Iterator[bytes]:
-    """Split a body into its records.
+def decode_records(body: bytes, start: Position) -> Changes:
+    """Decode the answer to a read from a position on."""
+    if len(body) < _OFFSETS.size:
+        raise StoreUnavailable('the offsets are truncated')
+    entries = tuple(map(_decode_record, _split_records(body)))
+    return changes_since(start, entries, *_OFFSETS.unpack_from(body))
 
-    They follow a header with the end offset and the first retained offset.
-    """
+
+def _split_records(body: bytes) -> Iterator[bytes]:
     position = _OFFSETS.size
     while position < len(body):
         start = position + _LENGTH.size
-        if start > len(body):
-            raise StoreUnavailable('the last record is truncated')
-        length = int.from_bytes(body[position:start], 'big')
-        position = start + length
+        position = start + int.from_bytes(body[position:start], 'big')
         if position > len(body):
             raise StoreUnavailable('the last record is truncated')
         yield body[start:position]
--- a/src/bergamotshed/store/follower.py
+++ b/src/bergamotshed/store/follower.py
@@ -82,6 +82,8 @@
         self.listed = asyncio.Event()
         self._next: Position | None = None
         self._last_known: Position | None = None
+        self._known_as_of = -math.inf
+        self._is_behind = False
         self._relist_delay = relist_delay
         self._has_read_since_listing = True
         self._is_reachable = True
@@ -96,7 +98,7 @@
             await self._clock.sleep(await self._step())
 
     async def confirm(self) -> bool:
-        """Read changes without waiting; return whether the store answered.
+        """Read changes without waiting; return whether they are all known.
 
         The read of :meth:`run` that the store holds back returns the same
         changes again.
@@ -117,8 +119,8 @@
             )
             return False
         self._health.record_success()
-        self._consumer.apply_changes(changes.entries, sent_at)
-        return True
+        self._apply(changes, sent_at)
+        return changes.is_complete
 
     async def _step(self) -> timedelta:
         """Make one call and return the pause that follows it."""
@@ -170,6 +172,7 @@
                 offset_before=before.offset,
             )
         self._consumer.replace_entries(listing.entries, sent_at)
+        self._known_as_of = sent_at
         self._move_to(listing.end)
         self._has_read_since_listing = False
         self.listed.set()
@@ -181,16 +184,25 @@
             return False
         # The first read after a failure doesn't wait for changes, so that the
         # return of the store is noticed at once.
-        wait = self._options.wait if self._is_reachable else NO_WAIT
+        is_waiting = self._is_reachable and not self._is_behind
+        wait = self._options.wait if is_waiting else NO_WAIT
         changes = await self._read_unless_era_changes(self._next, wait)
         self._health.record_success()
-        self._consumer.apply_changes(
-            changes.entries, sent_at - changes.age.total_seconds()
-        )
+        self._apply(changes, sent_at)
         self._move_to(changes.end)
         self._has_read_since_listing = True
+        self._is_behind = not changes.is_complete
         # A peer that reads for this router gathers changes itself.
-        return bool(changes.entries) and not changes.is_relayed
+        is_gathered = changes.is_relayed or self._is_behind
+        return bool(changes.entries) and not is_gathered
+
+    def _apply(self, changes: Changes, sent_at: float) -> None:
+        """Hand on changes; those of an incomplete read confirm nothing new."""
+        as_of = self._known_as_of
+        if changes.is_complete:
+            as_of = sent_at - changes.age.total_seconds()
+            self._known_as_of = max(self._known_as_of, as_of)
+        self._consumer.apply_changes(changes.entries, as_of)
 
     async def _read_unless_era_changes(
         self, start: Position, wait: timedelta
--- a/src/bergamotshed/store/recent_changes.py
+++ b/src/bergamotshed/store/recent_changes.py
@@ -22,7 +22,8 @@
 class RecentChanges:
     """Keeps consecutive changes and wakes those who wait for the next read.
 
-    :ivar read_at: boot time at which the last successful read was sent
+    :ivar read_at: boot time at which the last read that reached the topic's
+        end was sent
     """
 
     def __init__(self) -> None:
@@ -45,7 +46,8 @@
         self._end = changes.end
         while len(self._entries) > MAX_ENTRIES:
             self._entries.popleft()
-        self.read_at = max(self.read_at, read_at)
+        if changes.is_complete:
+            self.read_at = max(self.read_at, read_at)
         self._is_current = True
         self._wake()
 
@@ -66,6 +68,7 @@
         first = end.offset - len(self._entries)
         if (
             not self._is_current
+            or math.isinf(self.read_at)
             or start.era != end.era
             or not first <= start.offset <= end.offset
         ):
--- a/src/bergamotshed/store/types.py
+++ b/src/bergamotshed/store/types.py
@@ -104,6 +104,8 @@
     """Consecutive changes of a topic.
 
     :ivar end: position from which to read the next changes
+    :ivar is_complete: no later change was stored when the store was read; an
+        answer is limited in size, so changes may follow ``end``
     :ivar is_relayed: a peer has read them
     :ivar age: how long before this call the store was read; negative if it
         was read after the call began
@@ -111,6 +113,7 @@
 
     entries: tuple[Entry, ...]
     end: Position
+    is_complete: bool = True
     is_relayed: bool = False
     age: timedelta = timedelta(0)
 
--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_store_readers.py
@@ -104,3 +104,23 @@
         for member in (pair.follower, pair.reader):
             response = await send_request(member.port, '/once/a')
             assert response.status == 503
+
+
+async def test_a_revoked_key_stays_refused_while_a_long_history_is_read() -> (
+    None
+):
+    async with running_pair() as pair:
+        member = pair.reader
+        pair.env.store.answer_bytes = 1
+        member.way_to_store.cut()
+        await asyncio.sleep(REVOKE_MS / 1000)
+        for _ in range(30):
+            pair.env.configure()
+        pair.revoke_keys()
+        member.way_to_store.restore()
+        await until(lambda: member.gateway.fleet.routing.version > 1)
+        statuses = set()
+        while member.gateway.fleet.routing.version < pair.env.version:
+            statuses.add((await send_request(member.port, '/once/a')).status)
+        statuses.add((await send_request(member.port, '/once/a')).status)
+        assert statuses <= {401, 503}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,9 +1,12 @@
 import asyncio
+import struct
 from collections.abc import AsyncIterator
 from datetime import timedelta
 
 import pytest
-from aiohttp import ClientSession
+from aiohttp import ClientSession, web
+from aiohttp.test_utils import RawTestServer
+from aiohttp.web_request import BaseRequest
 
 from bergamotshed.platform.store import PlatformStore
 from bergamotshed.store.types import (
@@ -166,3 +169,49 @@
     with pytest.raises(StoreHistoryGone):
         await store.read(Topic.UPSTREAMS, position, NO_WAIT)
     assert (await store.newest(Topic.UPSTREAMS)).end == at(0, era=2)
+
+
+async def test_a_read_that_stops_short_is_not_complete(
+    standin: KeyedStoreStandIn, store: PlatformStore
+) -> None:
+    for number in range(5):
+        standin.put(UPSTREAMS, f'k{number}', bytes(400))
+    standin.answer_bytes = 1000
+    first = await store.read(Topic.UPSTREAMS, at(0), NO_WAIT)
+    assert (first.end, first.is_complete) == (at(2), False)
+    last = await store.read(Topic.UPSTREAMS, at(3), NO_WAIT)
+    assert (last.end, last.is_complete) == (at(5), True)
+
+
+def offsets(end: int, first: int = 0) -> bytes:
+    return struct.pack('>QQ', end, first)
+
+
+@pytest.mark.parametrize(
+    ('path', 'body', 'error'),
+    [
+        ('/log-read', b'', StoreUnavailable),
+        ('/log-read', offsets(0)[:-1], StoreUnavailable),
+        ('/log-read', offsets(1), StoreUnavailable),
+        ('/log-read', offsets(1) + b'\0\0\0\x09\x01k', StoreUnavailable),
+        ('/log-read', offsets(9, first=8), StoreHistoryGone),
+        (
+            '/log-newest',
+            b'{"entries": [], "has_more": true, "end": 4}',
+            StoreUnavailable,
+        ),
+    ],
+)
+async def test_a_short_answer_is_not_taken_for_an_empty_one(
+    path: str, body: bytes, error: type[Exception]
+) -> None:
+    async def answer(_request: BaseRequest) -> web.Response:
+        return web.Response(body=body)
+
+    async with RawTestServer(answer) as serving, ClientSession() as session:
+        store = PlatformStore(f'127.0.0.1:{serving.port}', session)
+        with pytest.raises(error):
+            if path == '/log-read':
+                await store.read(Topic.UPSTREAMS, at(0), NO_WAIT)
+            else:
+                await store.newest(Topic.UPSTREAMS)
--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -18,6 +18,8 @@
 from aiohttp.web_request import BaseRequest
 
 PAGE_ENTRIES = 3
+OFFSETS_BYTES = 16
+ANSWER_BYTES = 1_048_576
 
 
 class KeyedStoreStandIn:
@@ -28,6 +30,7 @@
     :ivar ignores_new_records: whether long polls wait out their time although
         there are new records
     :ivar answer_delay_s: delay of each answer
+    :ivar answer_bytes: largest answer to a read of more than one record
     :ivar called_paths: the path of each call, in order
     :ivar first_offsets: first offset that can still be read, by topic
     :ivar era: number of its history, in the headers of its answers; ``None``
@@ -41,6 +44,7 @@
         self.is_silent = False
         self.ignores_new_records = False
         self.answer_delay_s = 0.0
+        self.answer_bytes = ANSWER_BYTES
         self.called_paths: list[str] = []
         self.records: dict[str, list[tuple[str, bytes]]] = {}
         self.first_offsets: dict[str, int] = {}
@@ -172,6 +176,9 @@
         )
         for key, value in records[start:]:
             record = bytes((len(key),)) + key.encode() + value
+            is_full = len(body) + len(record) > self.answer_bytes
+            if is_full and len(body) > OFFSETS_BYTES:
+                break
             body += struct.pack('>I', len(record)) + record
         return web.Response(body=body)
 
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -115,6 +115,19 @@
     assert [sent_at for _, _, sent_at in consumer.log] == [0, 0, 2]
 
 
+async def test_an_incomplete_read_confirms_nothing_new() -> None:
+    settle = timedelta(seconds=1)
+    store, consumer = await follow(
+        Listing((), at(0)),
+        Changes((), at(0)),
+        Changes((Entry('a', b'1'),), at(1), is_complete=False),
+        Changes((Entry('a', b'2'),), at(2)),
+        options=FollowerOptions(WAIT, settle),
+    )
+    assert store.calls[-3:] == ['read 0', 'read 1', 'read 2']
+    assert [sent_at for _, _, sent_at in consumer.log] == [0, 0, 0, 4]
+
+
 async def test_a_relayed_read_confirms_as_of_the_peer_s_call() -> None:
     settle = timedelta(seconds=1)
     relayed = Changes(
--- a/tests/store/test_recent_changes.py
+++ b/tests/store/test_recent_changes.py
@@ -69,6 +69,17 @@
     assert recent.read_at == 7
 
 
+def test_a_read_that_stops_short_does_not_raise_the_time() -> None:
+    recent = RecentChanges()
+    part = Changes((Entry('k5', b'v'),), at(6), is_complete=False)
+    recent.record(at(5), part, read_at=7)
+    assert recent.since(at(5)) is None
+    recent.record(at(6), changes(6, 6), read_at=8)
+    recent.record(at(6), Changes((), at(6), is_complete=False), read_at=9)
+    assert recent.read_at == 8
+    assert recent.since(at(5)) is not None
+
+
 @pytest.mark.parametrize('is_failure', [False, True])
 async def test_the_next_read_ends_a_wait(is_failure: bool) -> None:
     recent = recorded((5, 8))
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -18,12 +18,13 @@
 from bergamotshed.platform.configuration import PlatformRoutingDataDecoder
 from bergamotshed.platform.headers import PlatformDialect
 from bergamotshed.platform.instances import PlatformInstanceDecoder
-from bergamotshed.platform.store import decode_page, split_records
+from bergamotshed.platform.store import decode_page, decode_records
 from bergamotshed.roster.types import decode_entry
 from bergamotshed.routers.configuration import unpack_fleet
 from bergamotshed.routers.relayframes import RelayFrameError, read_frame
 from bergamotshed.routers.wire import decode
 from bergamotshed.upstreams.types import AnswerHead, Delimitation
+from tests.store.positions import at
 
 DIGITS = b'9' * 5000
 NESTED_JSON = b'{"":' + b'[' * 1200
@@ -69,7 +70,7 @@
     'upstream': lambda value: PlatformInstanceDecoder().decode('i', value),
     'configuration': PlatformRoutingDataDecoder().decode,
     'listing': decode_page,
-    'records': lambda value: list(split_records(value)),
+    'records': lambda value: decode_records(value, at(0)),
     'router': decode_entry,
     'peer message': decode,
     'fleet of a peer': unpack_fleet,
