Bound the age of what a router knows through its reader

Cause: the times that may pass at each hop were bounded one by one: the peer's pause and its read (0.6 + 2.2 s), the hold of the question (1.4 s), the accepted age (2.8 s, as of the question's arrival). Their sum wasn't. The same holds for the configuration.

Fix: a router holds the question only until what it knows is 0.8 of the topic's bound old, and then reads the store itself; a reader judges the age when it answers.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -44,7 +44,7 @@
 from ..upstreams.pool import ConnectionPool, PoolOptions
 from ..upstreams.reach_prober import ReachProber
 from ..upstreams.registry import UpstreamRegistry
-from .followers import build_followers, topic_consumers
+from .followers import build_followers, relayed_ages, topic_consumers
 from .forwarding_parts import admission_options, build_forwarding
 from .heartbeat import HeartbeatBuilder
 from .inspection import health_report, register_inspection
@@ -202,6 +202,7 @@
                 heartbeats.mesh,
                 lambda: _live_in_domain(entry, roster, heartbeats),
                 clock,
+                relayed_ages(settings),
             ),
             health,
             clock,
--- a/src/bergamotshed/gateway/followers.py
+++ b/src/bergamotshed/gateway/followers.py
@@ -5,7 +5,7 @@
 How a gateway follows the topics of the store.
 """
 
-__all__ = ('build_followers', 'topic_consumers')
+__all__ = ('build_followers', 'relayed_ages', 'topic_consumers')
 
 from datetime import timedelta
 
@@ -19,6 +19,9 @@
 #: Share of the time within which a change must take effect for which a read
 #: may block; the rest is for transfer and for applying the change.
 WAIT_SHARE = 0.7
+#: Share of that time after which a router no longer relies on what a peer has
+#: read; the rest is for the peer's answer and for a read of its own.
+RELAYED_AGE_SHARE = 0.8
 #: Pauses after a read with changes, which batch those that follow; otherwise
 #: every change of a list would cause a call by every router. They are bounded
 #: because a leaving upstream must be noticed, and a new version be in force,
@@ -45,6 +48,19 @@
     }
 
 
+def relayed_ages(settings: GatewaySettings) -> dict[Topic, timedelta]:
+    """Return the accepted age of topics that are read through a peer."""
+    limits = settings.configuration
+    bounds_ms = {
+        Topic.CONFIGURATION: limits.apply_ms,
+        Topic.UPSTREAMS: limits.leave_ms,
+    }
+    return {
+        topic: bound_ms * RELAYED_AGE_SHARE * MILLISECOND
+        for topic, bound_ms in bounds_ms.items()
+    }
+
+
 def topic_consumers(
     settings: GatewaySettings,
     routing: TopicConsumer,
--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_store_readers.py
@@ -6,6 +6,8 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
+import pytest
+
 from bergamotshed.routing.store_readers import find_reader
 from bergamotshed.store.types import Topic
 from tests.waiting import until
@@ -13,13 +15,20 @@
 from .members import REVOKE_MS, Member, start_member
 from .scripts import fine
 from .support import (
+    UPSTREAMS,
     GatewayEnvironment,
     running_gateway,
     send_request,
+    upstream_entry,
 )
 
 NAMES = ('gw-1', 'gw-2')
 CONFIGURATION_WAIT_S = 0.2
+#: Stated by the users: time until a leaving upstream gets no new requests.
+DRAIN_S = 2.0
+STEP_S = 0.1
+#: Time after which all topics are read through the reader.
+ACQUAINTED_S = 6.0
 FOLLOWER = next(
     name
     for name in NAMES
@@ -35,6 +44,18 @@
     follower: Member
     reader: Member
 
+    def of(self, topic: Topic) -> tuple[Member, Member]:
+        """Return who follows a topic through whom."""
+        members = {
+            member.gateway.settings.node.name: member
+            for member in (self.follower, self.reader)
+        }
+        (follower,) = (
+            name for name in NAMES if find_reader(topic.value, name, NAMES)
+        )
+        (reader,) = set(NAMES) - {follower}
+        return members[follower], members[reader]
+
     async def wait_until_relayed(self) -> None:
         """Wait until the follower stops reading the configuration itself."""
         direct_reads = self.follower.direct_reads
@@ -124,3 +145,28 @@
             statuses.add((await send_request(member.port, '/once/a')).status)
         statuses.add((await send_request(member.port, '/once/a')).status)
         assert statuses <= {401, 503}
+
+
+def is_leaving(member: Member, name: str) -> bool:
+    instance = member.gateway.fleet.registry.instances.get(name)
+    return instance is None or instance.leaving
+
+
+@pytest.mark.parametrize('cut_after_s', [0, 0.3, 0.6])
+async def test_a_leaving_upstream_is_known_in_time_behind_a_silent_reader(
+    cut_after_s: float,
+) -> None:
+    async with running_pair() as pair:
+        follower, reader = pair.of(Topic.UPSTREAMS)
+        await asyncio.sleep(ACQUAINTED_S + cut_after_s)
+        entry = upstream_entry(pair.env.upstreams[0].address)
+        # The reader pauses after a change, to gather those that follow.
+        pair.env.store.put(UPSTREAMS, 'i-1', {**entry, 'service': 'other'})
+        await asyncio.sleep(STEP_S)
+        reader.way_to_store.silence()
+        await asyncio.sleep(STEP_S)
+        leaving = {**entry, 'state': 'draining', 'sequence': 2}
+        pair.env.store.put(UPSTREAMS, 'i-0', leaving)
+        acknowledged_at = time.monotonic()
+        await until(lambda: is_leaving(follower, 'i-0'))
+        assert time.monotonic() - acknowledged_at < DRAIN_S
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -22,6 +22,8 @@
         self._server: asyncio.Server | None = None
         self._writers: set[StreamWriter] = set()
         self._is_cut = False
+        self._is_open = asyncio.Event()
+        self._is_open.set()
         self.address = ''
 
     async def start(self) -> None:
@@ -36,9 +38,14 @@
         for writer in self._writers:
             writer.close()
 
+    def silence(self) -> None:
+        """Hold all bytes back; no connection is closed."""
+        self._is_open.clear()
+
     def restore(self) -> None:
         """Forward new connections again."""
         self._is_cut = False
+        self._is_open.set()
 
     def close(self) -> None:
         """Close all connections and stop listening."""
@@ -57,14 +64,15 @@
             )
             self._writers |= {writer, target_writer}
             await asyncio.gather(
-                _copy(reader, target_writer), _copy(target_reader, writer)
+                self._copy(reader, target_writer),
+                self._copy(target_reader, writer),
             )
             self._writers -= {writer, target_writer}
 
-
-async def _copy(reader: StreamReader, writer: StreamWriter) -> None:
-    with contextlib.suppress(OSError):
-        while block := await reader.read(BLOCK_BYTES):
-            writer.write(block)
-            await writer.drain()
-    writer.close()
+    async def _copy(self, reader: StreamReader, writer: StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while block := await reader.read(BLOCK_BYTES):
+                await self._is_open.wait()
+                writer.write(block)
+                await writer.drain()
+        writer.close()
--- a/tests/routers/test_store_returns_machine.py
+++ b/tests/routers/test_store_returns_machine.py
@@ -147,6 +147,7 @@
                 cast(Any, mesh.of(name)),
                 lambda: NAMES,
                 clock,
+                {},
             )
             follower = TopicFollower(
                 relay,
--- a/tests/routers/test_storerelay.py
+++ b/tests/routers/test_storerelay.py
@@ -136,6 +136,7 @@
             self.mesh,
             lambda: self.live,
             self.clock,
+            {},
         )
         self._next = Position(1, 0)
 
