Keep other answers out of a stream that has begun

Callers: a stream broke off, the next upstream answered with an error, and its text, below 500 with its whole head, stood in the stream, which ended as if it were complete.

Cause: the answer to an attempt that continues a stream was judged like a first one. Below 500 it was returned as the whole answer; over 256 KB its bytes were appended and the stream was finished.

Evidence: five of the six new cases (200, 404, 500; 9 and 400,000 bytes) failed on; a small 500 passed.

Fix: once the caller has the head, an answer that is no event stream fails the attempt, so the stream goes on elsewhere or is cut.

--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -277,7 +277,16 @@
         while piece := await connection.read_part():
             buffered += piece
             if len(buffered) > MAX_BUFFERED_BYTES:
-                return await self._relay_large(connection, metadata, buffered)
+                break
+        if self._relay.is_started:
+            # A stream goes on with events only; the caller has its head.
+            return AttemptResult(
+                AttemptOutcome.FAILED,
+                f'status {metadata.status} to a stream that goes on',
+                is_answer_started=True,
+            )
+        if len(buffered) > MAX_BUFFERED_BYTES:
+            return await self._relay_large(connection, metadata, buffered)
         answer = UpstreamAnswer(
             metadata.status, metadata.caller_headers, bytes(buffered)
         )
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -131,6 +131,27 @@
         assert len(setup.runs) == 2
 
 
+@pytest.mark.parametrize('size', [9, 400_000])
+@pytest.mark.parametrize(
+    'status', ['200 OK', '404 Not Found', '500 Internal Server Error']
+)
+async def test_no_other_answer_goes_into_a_stream_that_has_begun(
+    status: str, size: int
+) -> None:
+    async def first_cut(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if 'last-event-id' not in request.headers:
+            await cut_stream(request, writer)
+            return
+        writer.write(sealed_answer(request, b'e' * size, status))
+
+    async with running_gateway(first_cut, first_cut) as setup:
+        response = await send_request(setup.port, '/resumed/a')
+        assert response.cut
+        assert response.body == events(0, 2)
+
+
 async def test_a_stream_that_ends_before_its_first_event_is_no_answer() -> None:
     async def empty(request: RawRequest, writer: asyncio.StreamWriter) -> None:
         writer.write(delimited_answer(request, b'', 'connection'))
