Believe a refusal without an attempt id only as a connection's first answer

Callers: a faulty upstream wrote an earlier refusal once more on a kept connection. A request that ran there was told not to have run, or ran at a second upstream.

Cause: a refusal without an attempt id matched any request.

Fix: on a connection that has answered before, such a refusal leaves the outcome unknown, and the connection is closed.

--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -195,7 +195,9 @@
         self.answer_metadata = self._dialect.read_answer(head)
         if self.answer_metadata.load is not None:
             self._observer.record_load(instance, self.answer_metadata.load)
-        flaw = self._find_flaw(self.answer_metadata)
+        flaw = self._find_flaw(
+            self.answer_metadata, is_first=connection.request_count == 1
+        )
         if flaw:
             return self._broken_result(flaw)
         if self.answer_metadata.status != HTTP_MISDIRECTED:
@@ -221,13 +223,17 @@
         except (UpstreamAnswerBroken, EventStreamError) as error:
             return self._broken_result(str(error))
 
-    def _find_flaw(self, metadata: AnswerMetadata) -> str:
-        """Return why the answer can't be passed on; empty if it can."""
+    def _find_flaw(self, metadata: AnswerMetadata, *, is_first: bool) -> str:
+        """Return why the answer can't be passed on; empty if it can.
+
+        :param is_first: nothing was answered on the connection before; later
+            a refusal without an attempt id may be an earlier one, repeated
+        """
         is_refusal = metadata.did_not_run or metadata.status == HTTP_MISDIRECTED
-        lacks_attempt_id = is_refusal and not metadata.attempt_id
+        is_unnamed_refusal = is_refusal and not metadata.attempt_id and is_first
         if (
             metadata.attempt_id != self._request.attempt_id
-            and not lacks_attempt_id
+            and not is_unnamed_refusal
         ):
             return f'answer to another attempt {metadata.attempt_id!r}'
         if is_refusal:
--- a/src/bergamotshed/upstreams/connection.py
+++ b/src/bergamotshed/upstreams/connection.py
@@ -29,12 +29,14 @@
     :param address: ``ip:port`` of the upstream
     :ivar idle_since: when it was released to the pool, in monotonic seconds
     :ivar idle_limit_s: how long it may stay idle, in seconds
+    :ivar request_count: number of requests sent on it
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.idle_since: float = 0
         self.idle_limit_s: float = 0
+        self.request_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser: AnswerParser | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -60,6 +62,7 @@
         """Write one request; return whether any byte was written."""
         if not self.is_reusable:
             return False
+        self.request_count += 1
         self._parser = AnswerParser(has_no_body=payload.startswith(b'HEAD '))
         cast(asyncio.Transport, self._transport).write(payload)
         return True
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from http import HTTPStatus
 from itertools import count
 
 import pytest
@@ -297,3 +298,35 @@
         assert b' 400 ' in received.partition(b'\r\n')[0]
         assert received.count(b'HTTP/') == 1
         assert not setup.runs
+
+
+@pytest.mark.parametrize('states_attempt', [False, True])
+@pytest.mark.parametrize('status', ['503 Busy', '429 Busy', '421 Misdirected'])
+async def test_an_earlier_refusal_is_not_taken_for_that_of_a_later_request(
+    status: str, states_attempt: bool
+) -> None:
+    refusals: dict[asyncio.StreamWriter, bytes] = {}
+    ran: list[str] = []
+
+    async def repeats_refusal(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if writer in refusals:
+            ran.append(request.attempt)
+        else:
+            attempt = f'Bergamotshed-Attempt-Id: {request.attempt}\r\n'
+            refusals[writer] = (
+                f'HTTP/1.1 {status}\r\n{attempt * states_attempt}'
+                'Bergamotshed-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+            ).encode()
+        writer.write(refusals[writer])
+
+    async with running_gateway(repeats_refusal, repeats_refusal) as setup:
+        for number in range(6):
+            attempt = f'a{number}'
+            response = await send_request(
+                setup.port, '/once/a', attempt=attempt
+            )
+            assert ran.count(attempt) <= 1
+            if attempt in ran:
+                assert response.status == HTTPStatus.BAD_GATEWAY
