Do not block a process whose peers' socket could not be bound

A router whose port for peers is taken would not exit either.

Cause: PeerMesh created its ROUTER socket when it was built. If it was never started, or if the bind failed, nothing closed the socket, and a ZeroMQ context that is collected with an open socket blocks its thread for good.

The socket is created when the mesh starts and closed if it can't be bound. free_ports of the tests could draw one port twice in a call; it can't now.

--- a/src/bergamotshed/routers/gatewayheartbeats.py
+++ b/src/bergamotshed/routers/gatewayheartbeats.py
@@ -127,8 +127,8 @@
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
-        await self._mesh.start()
         try:
+            await self._mesh.start()
             while True:
                 await self._clock.sleep(self.tick())
         finally:
--- a/src/bergamotshed/routers/inbox.py
+++ b/src/bergamotshed/routers/inbox.py
@@ -75,7 +75,8 @@
         self.question_handlers: dict[type, QuestionHandler] = {}
         self._count_bytes = count_bytes
         self._counters = counters
-        self._socket = _router_socket(context)
+        self._context = context
+        self._socket: Socket | None = None
         self._answer_tasks: dict[_QuestionKey, asyncio.Task[None]] = {}
         self._receiver: asyncio.Task[None] | None = None
 
@@ -85,11 +86,16 @@
         return len(self._answer_tasks)
 
     def start(self) -> None:
-        """Bind the socket and start receiving."""
-        self._socket.bind(f'tcp://{self.address}')
+        """Bind the socket and start receiving.
+
+        :raises zmq.ZMQError: the address is in use
+        """
+        # Not created earlier: a context with an open socket blocks its thread
+        # when it is collected.
+        self._socket = _bound_socket(self._context, self.address)
         endpoint = cast(bytes, self._socket.getsockopt(zmq.LAST_ENDPOINT))
         self.address = endpoint.decode().removeprefix('tcp://')
-        self._receiver = asyncio.create_task(self._receive())
+        self._receiver = asyncio.create_task(self._receive(self._socket))
 
     async def close(self) -> None:
         """Stop receiving and cancel all pending answers."""
@@ -99,11 +105,12 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self._socket.close(0)
+        if self._socket is not None:
+            self._socket.close(0)
 
-    async def _receive(self) -> None:
+    async def _receive(self, receiving: Socket) -> None:
         while True:
-            identity, *body = await self._socket.recv_multipart()
+            identity, *body = await receiving.recv_multipart()
             self._count_bytes(0, sum(map(len, body)) + FRAME_OVERHEAD_BYTES)
             try:
                 self._dispatch(identity, body)
@@ -175,7 +182,7 @@
         self._reply(*key, answer)
 
     def _reply(self, identity: bytes, question: int, answer: Message) -> None:
-        if self._socket.closed:
+        if self._socket is None or self._socket.closed:
             return
         frame = encode(-question, answer)
         with suppress(zmq.ZMQError):
@@ -191,6 +198,20 @@
             self._counters.dropped += 1
 
 
+def _bound_socket(context: Context, address: str) -> Socket:
+    """Return a socket that listens on an address.
+
+    :raises zmq.ZMQError: the address is in use
+    """
+    listening = _router_socket(context)
+    try:
+        listening.bind(f'tcp://{address}')
+    except zmq.ZMQError:
+        listening.close(0)
+        raise
+    return listening
+
+
 def _router_socket(context: Context) -> Socket:
     socket = context.socket(zmq.ROUTER)
     socket.setsockopt(zmq.LINGER, 0)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -361,7 +361,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free on every loopback address of the routers."""
+    """Return distinct ports that are free on all the routers' addresses."""
     ports: list[int] = []
     while len(ports) < count:
         # Lies below the ephemeral range, so that no outgoing connection
@@ -370,5 +370,6 @@
         with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
             for host in HOSTS:
                 stack.enter_context(socket.socket()).bind((host, port))
-            ports.append(port)
+            if port not in ports:
+                ports.append(port)
     return ports
--- a/tests/routers/test_mesh.py
+++ b/tests/routers/test_mesh.py
@@ -1,4 +1,7 @@
 import asyncio
+import socket
+import subprocess
+import sys
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
@@ -292,3 +295,39 @@
         block_at_answer(asker, peer, asking.cancel)
         await asyncio.gather(asking, return_exceptions=True)
         await until(lambda: late == [ConfigurationAnswer(7)])
+
+
+_DROPPED_MESH = """
+import asyncio, gc, sys, zmq
+from bergamotshed.clock import SystemClock
+from bergamotshed.routers.mesh import PeerMesh
+
+async def build(address):
+    mesh = PeerMesh('a', address, SystemClock(), lambda *_: None)
+    if address:
+        await mesh.start()
+
+try:
+    asyncio.run(build(sys.argv[1]))
+except zmq.ZMQError:
+    print('in use')
+gc.collect()
+"""
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize('is_started', [False, True])
+def test_a_mesh_that_could_not_start_does_not_block_its_process(
+    is_started: bool,
+) -> None:
+    # A test run, or a router whose port was taken, hung for good.
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        address = f'127.0.0.1:{taken.getsockname()[1]}' if is_started else ''
+        ended = subprocess.run(
+            [sys.executable, '-c', _DROPPED_MESH, address],
+            timeout=10,
+            check=True,
+            capture_output=True,
+            text=True,
+        )
+    assert ended.stdout == ('in use\n' if is_started else '')
