Reject an answer whose head joins the heads of two answers

Callers: a request that an upstream had run was refused with 503, or passed on as its upstream's own 503, as if it had not run.

Cause: after a truncated head the next answer's status line is read as the rest of a reason phrase or of a header's value. The joined head has the status of the first answer, its "not executed" header, and the attempt id of the second, which replaced the first one's. Nothing compared the two ids either.

Evidence: an earlier refusal of 104 bytes, cut after each byte and followed by the answer to the present request on a kept connection.

A head in which a status line stands within a value, or that names two attempts, now breaks the connection, so the outcome is unknown (502).

--- a/src/bergamotshed/decoding.py
+++ b/src/bergamotshed/decoding.py
@@ -8,6 +8,7 @@
 __all__ = (
     'DECODE_ERRORS',
     'MAX_NUMBER_DIGITS',
+    'parse_amount',
     'parse_number',
     'parse_numbers',
 )
@@ -39,3 +40,12 @@
     numbers = [parse_number(part.strip()) for part in text.split(',')]
     valid = tuple(number for number in numbers if number is not None)
     return valid if len(valid) == len(numbers) else ()
+
+
+def parse_amount(value: bytes) -> float | None:
+    """Return a finite number of zero or more; ``None`` if it is none."""
+    try:
+        amount = float(value)
+    except ValueError:
+        return None
+    return amount if 0 <= amount < float('inf') else None
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-from ..decoding import parse_number, parse_numbers
+from ..decoding import parse_amount, parse_number, parse_numbers
 from ..forwarding.dialect import Dialect, RequestMalformed
 from ..forwarding.types import (
     AnswerMetadata,
@@ -18,7 +18,11 @@
     RequestMetadata,
     RoutedRequest,
 )
-from ..upstreams.parsing import headers_by_name, parse_keep_alive
+from ..upstreams.parsing import (
+    distinct_values,
+    headers_by_name,
+    parse_keep_alive,
+)
 from ..upstreams.types import AnswerHead, Headers, ReportedLoad
 from . import names
 
@@ -117,7 +121,7 @@
         encoding = by_name.get(b'content-encoding', b'identity').lower()
         return AnswerMetadata(
             status=head.status,
-            attempt_id=by_name.get(names.ATTEMPT, b'').decode('latin-1'),
+            attempt_id=', '.join(distinct_values(head.headers, names.ATTEMPT)),
             is_sealed=names.SEAL in by_name,
             did_not_run=names.NOT_EXECUTED in by_name,
             is_encoded=encoding != b'identity',
@@ -125,10 +129,8 @@
             delimitation=head.delimitation,
             keep_alive_s=parse_keep_alive(by_name),
             load=_parse_load(by_name.get(names.LOAD, b'')),
-            tolerance=_parse_number(
-                by_name.get(names.REJECTION_TOLERANCE, b'')
-            ),
-            max_rate=_parse_number(by_name.get(names.REQUEST_RATE, b'')),
+            tolerance=parse_amount(by_name.get(names.REJECTION_TOLERANCE, b'')),
+            max_rate=parse_amount(by_name.get(names.REQUEST_RATE, b'')),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
                 for name, value in head.headers
@@ -188,7 +190,7 @@
 def _parse_deadline(value: bytes | None) -> timedelta | None:
     if value is None:
         return None
-    count = _parse_number(value)
+    count = parse_amount(value)
     if count is None:
         raise RequestMalformed(f'deadline {value!r} is no number of ms')
     return min(count, MAX_DEADLINE_MS) * MILLISECOND
@@ -212,11 +214,3 @@
 def _parse_load(value: bytes) -> ReportedLoad | None:
     numbers = parse_numbers(value.decode('latin-1'))
     return ReportedLoad(*numbers) if len(numbers) == LOAD_FIELD_COUNT else None
-
-
-def _parse_number(value: bytes) -> float | None:
-    try:
-        number = float(value)
-    except ValueError:
-        return None
-    return number if 0 <= number < float('inf') else None
--- a/src/bergamotshed/upstreams/parsing.py
+++ b/src/bergamotshed/upstreams/parsing.py
@@ -5,7 +5,12 @@
 Parses the answer to one request and detects bytes that follow it.
 """
 
-__all__ = ('AnswerParser', 'headers_by_name', 'parse_keep_alive')
+__all__ = (
+    'AnswerParser',
+    'distinct_values',
+    'headers_by_name',
+    'parse_keep_alive',
+)
 
 from collections import deque
 from collections.abc import Mapping
@@ -24,6 +29,10 @@
 MAX_FRAMING_BYTES = 131_072
 MAX_FRAMING_PER_BODY_BYTE = 16
 
+#: Beginning of a status line. Within a head it shows that the bytes of two
+#: answers were joined.
+STATUS_LINE_START = b'HTTP/1.'
+
 _BODILESS = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 
@@ -50,6 +59,8 @@
         self._has_no_body = has_no_body
         self._parser = HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
+        self._reason = b''
+        self._has_joined_heads = False
         self._pieces: deque[bytes] = deque()
         self._received_bytes = 0
         self._body_bytes = 0
@@ -68,6 +79,8 @@
                 self.has_stray_bytes = True
                 return
             raise UpstreamAnswerBroken(f'malformed answer: {error}') from error
+        if self._has_joined_heads:
+            raise UpstreamAnswerBroken('a status line within a head')
         allowed = (
             MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
         )
@@ -97,6 +110,10 @@
         if self.is_complete:
             self.has_stray_bytes = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Collect the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self._headers.append((name, value))
@@ -105,7 +122,12 @@
         """Build the head unless the answer is interim (1xx)."""
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
+        texts = (self._reason, *(value for _, value in headers))
         self._headers = []
+        self._reason = b''
+        if any(STATUS_LINE_START in text for text in texts):
+            self._has_joined_heads = True
+            return
         if not self.has_stray_bytes and status >= _FIRST_FINAL_STATUS:
             self.head = AnswerHead(
                 status, headers, _find_delimitation(status, headers)
@@ -134,6 +156,12 @@
     return {name.lower(): value for name, value in headers}
 
 
+def distinct_values(headers: Headers, name: bytes) -> tuple[str, ...]:
+    """Return the different values of all headers of a lower-case name."""
+    values = (value for key, value in headers if key.lower() == name)
+    return tuple(dict.fromkeys(value.decode('latin-1') for value in values))
+
+
 def parse_keep_alive(by_name: Mapping[bytes, bytes]) -> float | None:
     """Return how long the sender keeps the connection open while it is idle.
 
--- /dev/null
+++ b/tests/gateway/test_faulty_refusals.py
@@ -0,0 +1,72 @@
+"""Upstreams that run a request and answer it as if they had not."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from tests.standins.rawupstream import RawRequest, sealed_answer
+
+from .scripts import fine
+from .support import running_gateway, send_request
+
+#: Statuses that tell a caller that the request did not run.
+NOT_RUN = frozenset((408, 421, 429, 503))
+EARLIER = 'earlier'
+PATHS = ('/once/a', '/stream/a')
+
+#: Returns what an upstream writes after it has run a request.
+AnswerForm = Callable[[RawRequest], bytes]
+
+
+def refusal(attempt: str) -> bytes:
+    return (
+        'HTTP/1.1 503 Busy\r\nBergamotshed-Not-Executed: 1\r\n'
+        f'Bergamotshed-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
+def cut_refusal(length: int) -> AnswerForm:
+    """Return a form that writes a part of an earlier refusal first."""
+    return lambda request: (
+        refusal(EARLIER)[:length] + sealed_answer(request, b'fine')
+    )
+
+
+def two_attempts(request: RawRequest) -> bytes:
+    own = f'Bergamotshed-Attempt-Id: {request.attempt}\r\nContent-Length'
+    return refusal(EARLIER).replace(b'Content-Length', own.encode())
+
+
+FORMS = {
+    **{
+        f'cut at {length}': cut_refusal(length)
+        for length in range(1, len(refusal(EARLIER)))
+    },
+    'two attempts': two_attempts,
+}
+
+
+@pytest.mark.parametrize('form', FORMS.values(), ids=list(FORMS))
+async def test_a_request_that_ran_is_not_taken_for_refused(
+    form: AnswerForm,
+) -> None:
+    ran: list[str] = []
+    used: set[asyncio.StreamWriter] = set()
+
+    async def faulty(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if writer not in used:
+            used.add(writer)
+            await fine(request, writer)
+            return
+        ran.append(request.attempt)
+        writer.write(form(request))
+
+    async with running_gateway(faulty, faulty) as setup:
+        for number, path in enumerate(PATHS * 3):
+            attempt = f'a{number}'
+            response = await send_request(setup.port, path, attempt=attempt)
+            assert ran.count(attempt) <= 1
+            if attempt in ran:
+                assert response.status not in NOT_RUN
+    assert ran
