Believe that a request did not run only beside a status that agrees

Callers: a request that may run once ran at two upstreams.

Cause: the header "not executed" alone made any answer a refusal, whatever its status and signature.

Evidence: three new cases (status 200, 500 and 504 with that header) failed before.

An answer with that header and a status that no refusal has is broken now: the outcome is unknown.

--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -44,6 +44,8 @@
 
 HTTP_OK = 200
 HTTP_MISDIRECTED = 421
+#: Statuses of upstreams that did not run a request.
+REFUSAL_STATUSES = frozenset((400, 408, HTTP_MISDIRECTED, 429, 503))
 HTTP_SERVER_ERROR = 500
 
 
@@ -237,7 +239,8 @@
         ):
             return f'answer to another attempt {metadata.attempt_id!r}'
         if is_refusal:
-            return ''
+            is_consistent = metadata.status in REFUSAL_STATUSES
+            return '' if is_consistent else f'refused with {metadata.status}'
         if metadata.is_encoded:
             return 'encoded body'
         if _is_success(metadata) and not metadata.is_sealed:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -50,6 +50,7 @@
 
 ROUTES: dict[str, dict[str, Any]] = {
     'once': {'kind': 'non_idempotent', 'max_attempts': 1},
+    'reroutable': {'kind': 'non_idempotent', 'max_attempts': 3},
     'twice': {'kind': 'idempotent', 'max_attempts': 2},
     'stream': {'kind': 'streaming', 'max_attempts': 1},
     'resumed': {'kind': 'streaming', 'max_attempts': 2, 'resumable': True},
--- a/tests/gateway/test_faulty_refusals.py
+++ b/tests/gateway/test_faulty_refusals.py
@@ -13,7 +13,7 @@
 #: Statuses that tell a caller that the request did not run.
 NOT_RUN = frozenset((408, 421, 429, 503))
 EARLIER = 'earlier'
-PATHS = ('/once/a', '/stream/a')
+PATHS = ('/once/a', '/reroutable/a', '/stream/a')
 
 #: Returns what an upstream writes after it has run a request.
 AnswerForm = Callable[[RawRequest], bytes]
@@ -38,12 +38,22 @@
     return refusal(EARLIER).replace(b'Content-Length', own.encode())
 
 
+def not_run_with(status: str) -> AnswerForm:
+    """Return a form whose status says that it ran, and a header not."""
+    return lambda request: sealed_answer(
+        request, status=status, extra='Bergamotshed-Not-Executed: 1'
+    )
+
+
 FORMS = {
     **{
         f'cut at {length}': cut_refusal(length)
         for length in range(1, len(refusal(EARLIER)))
     },
     'two attempts': two_attempts,
+    'not run, 200': not_run_with('200 OK'),
+    'not run, 500': not_run_with('500 Failed'),
+    'not run, 504': not_run_with('504 Late'),
 }
 
 
@@ -51,22 +61,23 @@
 async def test_a_request_that_ran_is_not_taken_for_refused(
     form: AnswerForm,
 ) -> None:
-    ran: list[str] = []
     used: set[asyncio.StreamWriter] = set()
+    is_used = False
 
     async def faulty(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-        if writer not in used:
-            used.add(writer)
-            await fine(request, writer)
+        nonlocal is_used
+        if writer in used:
+            is_used = True
+            writer.write(form(request))
             return
-        ran.append(request.attempt)
-        writer.write(form(request))
+        used.add(writer)
+        await fine(request, writer)
 
     async with running_gateway(faulty, faulty) as setup:
         for number, path in enumerate(PATHS * 3):
             attempt = f'a{number}'
             response = await send_request(setup.port, path, attempt=attempt)
-            assert ran.count(attempt) <= 1
-            if attempt in ran:
-                assert response.status not in NOT_RUN
-    assert ran
+            assert response.status not in NOT_RUN
+            runs = [run for run in setup.runs if run.attempt == attempt]
+            assert len(runs) == 1
+    assert is_used
