Pass no upstream's own 408, 429 or 503 on where a request may run once

Callers: a booking that an upstream had run was answered with that upstream's own 503 (also 429, 408) and read as "not run, try again".

Cause: an answer without the header "not executed" was passed on with its status, whatever the status means to the caller. Only that header, or 421, states that a request did not run.

Evidence: six new cases (three statuses, with a short body and with one that is passed on in pieces) failed before.

For a request that may run once such an answer is read to its end and counts as a failure without an answer, so the caller gets 502 without the upstream's signature. Requests that may be repeated get the upstream's own answer as before.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -127,6 +127,7 @@
             dependencies.dialect,
             dependencies.pool,
             self._observer,
+            repeatable=not self._is_run_once,
         )
         self._tried: set[str] = set()
         self._attempt_count = 0
@@ -204,7 +205,6 @@
             result = await self._exchange.run(
                 instance,
                 self._request_metadata(placed, admitted),
-                repeatable=not self._is_run_once,
                 patience=self._patience(),
             )
             exchange_outcome = _EXCHANGE_OUTCOMES[result.outcome]
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -46,6 +46,8 @@
 HTTP_MISDIRECTED = 421
 #: Statuses of upstreams that did not run a request.
 REFUSAL_STATUSES = frozenset((400, 408, HTTP_MISDIRECTED, 429, 503))
+#: Statuses that tell a caller that a request did not run.
+NOT_RUN_STATUSES = frozenset((408, HTTP_MISDIRECTED, 429, 503))
 HTTP_SERVER_ERROR = 500
 
 
@@ -110,6 +112,7 @@
     """Runs the HTTP exchanges of one request, one after the other.
 
     :param observer: is notified as soon as an answer's head is read
+    :param repeatable: the request may run more than once
     :ivar answer_metadata: from the head of the current or last exchange's
         answer; ``None`` if there is none
     :ivar may_have_run: whether an upstream may have run the request, over all
@@ -123,6 +126,8 @@
         dialect: Dialect,
         pool: ConnectionPool,
         observer: ExchangeObserver,
+        *,
+        repeatable: bool,
     ) -> None:
         self.answer_metadata: AnswerMetadata | None = None
         self.may_have_run = False
@@ -131,13 +136,13 @@
         self._dialect = dialect
         self._pool = pool
         self._observer = observer
+        self._is_repeatable = repeatable
 
     async def run(
         self,
         instance: Instance,
         request_metadata: RequestMetadata,
         *,
-        repeatable: bool,
         patience: timedelta | None,
     ) -> AttemptResult:
         """Send the request to an upstream and read its answer.
@@ -149,7 +154,7 @@
         self._relay.splitter.restart()
         try:
             connection = await self._pool.acquire(
-                instance.address, repeatable=repeatable
+                instance.address, repeatable=self._is_repeatable
             )
         except UpstreamNotReached as error:
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error))
@@ -221,10 +226,18 @@
                 return await _read_refusal(connection, metadata)
             if metadata.is_event_stream and _is_success(metadata):
                 return await self._relay_events(connection, instance, metadata)
+            if self._would_promise(metadata):
+                return await _read_unknown(connection, metadata)
             return await self._read_plain(connection, metadata)
         except (UpstreamAnswerBroken, EventStreamError) as error:
             return self._broken_result(str(error))
 
+    def _would_promise(self, metadata: AnswerMetadata) -> bool:
+        """Return whether the status would tell the caller of a request that
+        may run once that it did not run.
+        """
+        return not self._is_repeatable and metadata.status in NOT_RUN_STATUSES
+
     def _find_flaw(self, metadata: AnswerMetadata, *, is_first: bool) -> str:
         """Return why the answer can't be passed on; empty if it can.
 
@@ -346,10 +359,7 @@
 async def _read_refusal(
     connection: UpstreamConnection, metadata: AnswerMetadata
 ) -> AttemptResult:
-    """Read a refusal to its end, so that the connection can be reused."""
-    piece = b'-'
-    while piece:
-        piece = await connection.read_part()
+    await _skip_body(connection)
     if metadata.status == HTTP_MISDIRECTED:
         return AttemptResult(
             AttemptOutcome.MISDIRECTED, 'another upstream answered'
@@ -357,3 +367,20 @@
     return AttemptResult(
         AttemptOutcome.NOT_RUN, f'refused with {metadata.status}'
     )
+
+
+async def _read_unknown(
+    connection: UpstreamConnection, metadata: AnswerMetadata
+) -> AttemptResult:
+    await _skip_body(connection)
+    return AttemptResult(
+        AttemptOutcome.FAILED,
+        f'status {metadata.status} without saying that it did not run',
+    )
+
+
+async def _skip_body(connection: UpstreamConnection) -> None:
+    """Read an answer to its end, so that the connection can be reused."""
+    piece = b'-'
+    while piece:
+        piece = await connection.read_part()
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -136,10 +136,9 @@
         PlatformDialect(),
         pool,
         UnobservedExchange(),
+        repeatable=False,
     )
-    result = await exchange.run(
-        UPSTREAM, METADATA, repeatable=False, patience=None
-    )
+    result = await exchange.run(UPSTREAM, METADATA, patience=None)
     if isinstance(result.answer, UpstreamAnswer):
         return result.answer.body, result.answer.body
     is_answered = result.outcome is AttemptOutcome.ANSWERED
--- a/tests/gateway/test_faulty_refusals.py
+++ b/tests/gateway/test_faulty_refusals.py
@@ -12,6 +12,9 @@
 
 #: Statuses that tell a caller that the request did not run.
 NOT_RUN = frozenset((408, 421, 429, 503))
+#: Statuses of an upstream that does not say whether the request ran.
+OWN_STATUSES = ('408 Slow', '429 Busy', '503 Busy')
+LARGE_BODY = bytes(400_000)
 EARLIER = 'earlier'
 PATHS = ('/once/a', '/reroutable/a', '/stream/a')
 
@@ -45,12 +48,22 @@
     )
 
 
+def with_status(status: str) -> AnswerForm:
+    return lambda request: sealed_answer(request, b'x', status)
+
+
+def large(status: str) -> AnswerForm:
+    return lambda request: sealed_answer(request, LARGE_BODY, status)
+
+
 FORMS = {
     **{
         f'cut at {length}': cut_refusal(length)
         for length in range(1, len(refusal(EARLIER)))
     },
     'two attempts': two_attempts,
+    **{status: with_status(status) for status in OWN_STATUSES},
+    **{f'{status}, large': large(status) for status in OWN_STATUSES},
     'not run, 200': not_run_with('200 OK'),
     'not run, 500': not_run_with('500 Failed'),
     'not run, 504': not_run_with('504 Late'),
