Send an attempt to an address it was sent to before on a new connection

Callers: a request that may run once ran at two upstreams.

Cause: a refusal is matched to its request by the attempt id. If an address is listed under several names (an upstream and its successor there), an attempt that was refused as misdirected goes to the same address again, at times on the same connection. A repeat of its first refusal then has the right id.

On a connection that carried no other request a repeated refusal can't arrive.

--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -137,6 +137,7 @@
         self._pool = pool
         self._observer = observer
         self._is_repeatable = repeatable
+        self._used_addresses: set[str] = set()
 
     async def run(
         self,
@@ -154,7 +155,10 @@
         self._relay.splitter.restart()
         try:
             connection = await self._pool.acquire(
-                instance.address, repeatable=self._is_repeatable
+                instance.address,
+                repeatable=self._is_repeatable,
+                # A repeated answer to an earlier attempt has the same id.
+                must_be_new=instance.address in self._used_addresses,
             )
         except UpstreamNotReached as error:
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error))
@@ -189,6 +193,7 @@
                 AttemptOutcome.NOT_SENT, 'the connection was closed'
             )
         self.may_have_run = True
+        self._used_addresses.add(instance.address)
         try:
             async with asyncio.timeout(
                 None if patience is None else patience.total_seconds()
--- a/src/bergamotshed/upstreams/pool.py
+++ b/src/bergamotshed/upstreams/pool.py
@@ -61,28 +61,19 @@
         return self._open[address]
 
     async def acquire(
-        self, address: str, *, repeatable: bool
+        self, address: str, *, repeatable: bool, must_be_new: bool = False
     ) -> UpstreamConnection:
         """Return an open connection with no request in flight.
 
         :param repeatable: the request may be sent again if the connection
             turns out to be closed
+        :param must_be_new: no request was sent on the connection before
         :raises UpstreamNotReached: connecting failed or timed out
         """
-        now = self._clock.monotonic()
-        fresh_limit_s = self._options.fresh_limit.total_seconds()
-        connections = self._idle.get(address, [])
-        while connections:
-            connection = connections.pop()
-            idle_s = now - connection.idle_since
-            if not connection.is_reusable or idle_s > connection.idle_limit_s:
-                self._discard(connection)
-            elif repeatable or idle_s <= fresh_limit_s:
-                return connection
-            else:
-                connections.append(connection)
-                break
-        return await self._connect(address)
+        connection = None
+        if not must_be_new:
+            connection = self._take_idle(address, repeatable=repeatable)
+        return connection or await self._connect(address)
 
     async def probe(self, address: str) -> None:
         """Check an upstream by opening and closing a connection.
@@ -143,6 +134,25 @@
                 self._discard(connection)
         self._idle.clear()
 
+    def _take_idle(
+        self, address: str, *, repeatable: bool
+    ) -> UpstreamConnection | None:
+        """Return the connection that was used last, if it can still be used."""
+        now = self._clock.monotonic()
+        fresh_limit_s = self._options.fresh_limit.total_seconds()
+        connections = self._idle.get(address, [])
+        while connections:
+            connection = connections.pop()
+            idle_s = now - connection.idle_since
+            if not connection.is_reusable or idle_s > connection.idle_limit_s:
+                self._discard(connection)
+            elif repeatable or idle_s <= fresh_limit_s:
+                return connection
+            else:
+                connections.append(connection)
+                break
+        return None
+
     def _discard(self, connection: UpstreamConnection) -> None:
         connection.close()
         self._open[connection.address] -= 1
--- a/tests/forwarding/broken_peer.py
+++ b/tests/forwarding/broken_peer.py
@@ -127,7 +127,7 @@
         self.released: list[UpstreamConnection] = []
 
     async def acquire(
-        self, address: str, *, repeatable: bool
+        self, address: str, *, repeatable: bool, must_be_new: bool = False
     ) -> UpstreamConnection:
         """Return a new connection."""
         connection = UpstreamConnection(address)
--- a/tests/gateway/test_faulty_refusals.py
+++ b/tests/gateway/test_faulty_refusals.py
@@ -6,9 +6,10 @@
 import pytest
 
 from tests.standins.rawupstream import RawRequest, sealed_answer
+from tests.waiting import until
 
 from .scripts import fine
-from .support import running_gateway, send_request
+from .support import UPSTREAMS, running_gateway, send_request, upstream_entry
 
 #: Statuses that tell a caller that the request did not run.
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -94,3 +95,41 @@
             runs = [run for run in setup.runs if run.attempt == attempt]
             assert len(runs) == 1
     assert is_used
+
+
+async def test_a_repeated_refusal_of_the_same_attempt_is_not_believed() -> None:
+    # An attempt that was sent twice to one address was refused by the answer to
+    # its first arrival, while the second one ran.
+    ran: list[str] = []
+    refusals: dict[asyncio.StreamWriter, bytes] = {}
+
+    async def repeats(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if writer in refusals:
+            ran.append(request.attempt)
+        else:
+            refusals[writer] = refusal(request.attempt).replace(
+                b'503 Busy', b'421 Misdirected'
+            )
+        writer.write(refusals[writer])
+
+    async with running_gateway(repeats, fine) as setup:
+        former = setup.upstreams[0].address
+        for name in ('i-7', 'i-8', 'i-9'):
+            setup.store.put(UPSTREAMS, name, upstream_entry(former))
+        registry = setup.gateway.fleet.registry
+        await until(lambda: len(registry.members('s')) == 5)
+        for number in range(6):
+            attempt = f'a{number}'
+            response = await send_request(
+                setup.port, '/reroutable/a', attempt=attempt
+            )
+            runs = [
+                run
+                for run in setup.upstreams[1].requests
+                if run.attempt == attempt
+            ]
+            assert ran.count(attempt) + len(runs) <= 1
+            if attempt in ran:
+                assert response.status not in NOT_RUN
