Remember over a restart which versions could have begun a stream

Callers: streams that broke off when all routers were killed were answered 200 and went on at another version of the upstreams' software than they had begun at.

Cause: a take-up that names no attempt goes on if the service has had a single version for two minutes, but a router that has just started knew only the versions on its first list. Take-ups that name their attempt were all refused instead, even where the service had had one version.

Evidence: six cases over sockets, with all routers ended and one started; three failed before: two joined streams of two versions, one refused a stream of the only version.

Where the origin is not known, the list of upstreams is read again before a stream goes on, so that a version that another router has just read counts.

test_a_caller_that_names_no_attempt_needs_a_single_version had let a router that has just started go on with its only version, which is the fault. It has six cases now; the two former ones are among them, with the former versions known.

RequestAdmission's shared confirmation moved to store/confirmation.py, as the list of upstreams needs it too; the tests' store in memory moved to tests/store/memory.py.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -9,6 +9,7 @@
 __all__ = ('ForwardingDependencies', 'RequestAttempts')
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -63,7 +64,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardingDependencies:
-    """What the attempts of all requests use."""
+    """What the attempts of all requests use.
+
+    :ivar confirm_upstreams: reads the list of upstreams at once; returns
+        whether all changes are known
+    """
 
     admission: RequestAdmission
     crashes: CrashDetector
@@ -72,6 +77,7 @@
     loads: UpstreamLoads
     prompts: SharedPromptReaders
     origins: SharedStreamOrigins
+    confirm_upstreams: Callable[[], Awaitable[bool]]
     slots: SharedSlots
     rates: SharedRates
     retries: FleetRetryBudget
--- a/src/bergamotshed/forwarding/forwarder.py
+++ b/src/bergamotshed/forwarding/forwarder.py
@@ -56,6 +56,7 @@
         self._resumption = StreamResumption(
             dependencies.origins,
             dependencies.registry.versions,
+            dependencies.confirm_upstreams,
             dependencies.clock,
         )
 
--- a/src/bergamotshed/forwarding/request_admission.py
+++ b/src/bergamotshed/forwarding/request_admission.py
@@ -8,7 +8,6 @@
 
 __all__ = ('AdmissionOptions', 'AdmittedRequest', 'RequestAdmission')
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -70,7 +69,8 @@
     """Admits requests by the current configuration.
 
     :param options: returns the limits, which a reload may change
-    :param confirm: checks the store at once for a newer configuration
+    :param confirm: checks the store at once for a newer configuration;
+        concurrent calls should share one read
     :param has_ready_peer: returns whether another router accepts requests
     :param random: returns a number from 0 up to, but not including, 1
     """
@@ -89,7 +89,6 @@
         self._shutdown = shutdown
         self._confirm_configuration = confirm
         self._has_ready_peer = has_ready_peer
-        self._pending_confirmation: asyncio.Future[bool] | None = None
         self._random = random
 
     @property
@@ -122,7 +121,7 @@
         """
         admitted = self.admit(request)
         if isinstance(admitted, Refusal) and self._should_confirm(admitted):
-            await self._await_confirmation()
+            await self._confirm_configuration()
             return self.admit(request)
         return admitted
 
@@ -188,20 +187,6 @@
             < self._options().max_keyed_age.total_seconds()
         )
 
-    async def _await_confirmation(self) -> None:
-        """Confirm the configuration; concurrent calls share one check."""
-        if self._pending_confirmation is None:
-            self._pending_confirmation = asyncio.ensure_future(
-                self._confirm_configuration()
-            )
-            self._pending_confirmation.add_done_callback(
-                self._clear_confirmation
-            )
-        await asyncio.shield(self._pending_confirmation)
-
-    def _clear_confirmation(self, _done: 'asyncio.Future[bool]') -> None:
-        self._pending_confirmation = None
-
     def _deny(self, reason: Reason) -> Refusal:
         if self._routing.age >= self._options().max_denial_age.total_seconds():
             return self._refuse_stale()
--- a/src/bergamotshed/forwarding/stream_resumption.py
+++ b/src/bergamotshed/forwarding/stream_resumption.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from eliot import log_message
@@ -31,16 +32,22 @@
 
 
 class StreamResumption:
-    """Looks up the version that began a stream."""
+    """Looks up the version that began a stream.
+
+    :param confirm_list: reads the list of upstreams at once; returns whether
+        all changes are known
+    """
 
     def __init__(
         self,
         origins: SharedStreamOrigins,
         versions: VersionHistory,
+        confirm_list: Callable[[], Awaitable[bool]],
         clock: Clock,
     ) -> None:
         self._origins = origins
         self._versions = versions
+        self._confirm_list = confirm_list
         self._clock = clock
 
     async def find_origin(
@@ -69,40 +76,54 @@
     async def _look_up(
         self, request: RoutedRequest, service: str
     ) -> StreamOrigin | OriginUnknown:
-        versions = self._versions.recent_versions(service, STREAM_LIFETIME)
-        only = StreamOrigin(service, *versions) if len(versions) == 1 else None
-        if request.resumed_attempt is None:
-            return only or OriginUnknown.NOT_FOUND
-        origin = await self._origins.find(request.resumed_attempt)
-        if isinstance(origin, OriginUnknown):
-            log_message(
-                'stream.origin_unknown',
-                request=request.attempt_id,
-                resumed_attempt=request.resumed_attempt,
-                detail=origin.value,
-                versions=sorted(versions),
-                list_age=self._list_age,
-            )
-            if only is not None and self._knows_all_versions:
-                return only
-        return origin
+        origin: StreamOrigin | OriginUnknown = OriginUnknown.NOT_FOUND
+        if request.resumed_attempt is not None:
+            origin = await self._origins.find(request.resumed_attempt)
+        if isinstance(origin, StreamOrigin):
+            return origin
+        only = await self._find_only(service)
+        log_message(
+            'stream.origin_unknown',
+            request=request.attempt_id,
+            resumed_attempt=request.resumed_attempt,
+            detail=origin.value,
+            versions=sorted(self._recent_versions(service)),
+            only=None if only is None else only.version,
+            known_s=self._seconds_since(self._versions.known_since),
+            list_age=self._seconds_since(self._versions.confirmed_at),
+        )
+        return only or origin
 
-    @property
-    def _list_age(self) -> float | None:
-        age = self._clock.boottime() - self._versions.confirmed_at
+    async def _find_only(self, service: str) -> StreamOrigin | None:
+        """Return the only version that a stream may be of, if it is known."""
+        if not self._knows_former_versions:
+            return None
+        # Another router may know a version that is not read here yet.
+        is_confirmed = await self._confirm_list()
+        if not is_confirmed and not self._is_list_recent:
+            return None
+        versions = self._recent_versions(service)
+        return StreamOrigin(service, *versions) if len(versions) == 1 else None
+
+    def _recent_versions(self, service: str) -> set[str]:
+        return self._versions.recent_versions(service, STREAM_LIFETIME)
+
+    def _seconds_since(self, time: float) -> float | None:
+        age = self._clock.boottime() - time
         return round(age, 3) if math.isfinite(age) else None
 
     @property
-    def _knows_all_versions(self) -> bool:
-        """Return whether no stream can be of a version that this router has
-        not seen.
+    def _knows_former_versions(self) -> bool:
+        """Return whether no stream can be of a version that has left and that
+        this router does not know.
         """
-        now = self._clock.boottime()
-        followed_s = now - self._versions.followed_since
-        return (
-            followed_s > STREAM_LIFETIME.total_seconds()
-            and now - self._versions.confirmed_at < MAX_LIST_AGE_S
-        )
+        known_s = self._clock.boottime() - self._versions.known_since
+        return known_s > STREAM_LIFETIME.total_seconds()
+
+    @property
+    def _is_list_recent(self) -> bool:
+        age = self._clock.boottime() - self._versions.confirmed_at
+        return age < MAX_LIST_AGE_S
 
 
 def admitted_at_origin(
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -44,6 +44,7 @@
 from ..upstreams.pool import ConnectionPool, PoolOptions
 from ..upstreams.reach_prober import ReachProber
 from ..upstreams.registry import UpstreamRegistry
+from ..upstreams.version_store import VersionStore
 from .followers import build_followers, relayed_ages, topic_consumers
 from .forwarding_parts import admission_options, build_forwarding
 from .heartbeat import HeartbeatBuilder
@@ -133,6 +134,14 @@
                 fleet.crashes.is_home,
                 clock,
             ).run,
+            VersionStore(
+                fleet.store,
+                fleet.registry.versions,
+                fleet.crashes.is_home,
+                fleet.store_health,
+                clock,
+                is_first_start=settings.node.first_start,
+            ).run,
             live.run,
         ],
     )
--- a/src/bergamotshed/gateway/forwarding_parts.py
+++ b/src/bergamotshed/gateway/forwarding_parts.py
@@ -29,6 +29,7 @@
     FleetRetryBudgetOptions,
 )
 from ..routing.upstream_loads import UpstreamLoads
+from ..store.confirmation import SharedConfirmation
 from ..store.types import Topic
 from ..upstreams.pool import PoolOptions
 from .live_settings import LiveSettings
@@ -66,7 +67,7 @@
             lambda: admission_options(live.current),
             fleet.routing,
             shutdown,
-            fleet.followers[Topic.CONFIGURATION].confirm,
+            SharedConfirmation(fleet.followers[Topic.CONFIGURATION].confirm),
             fleet.heartbeats.has_ready_peer,
             rng.random,
         ),
@@ -85,6 +86,9 @@
         loads=loads,
         prompts=fleet.shared.prompts,
         origins=fleet.shared.origins,
+        confirm_upstreams=SharedConfirmation(
+            fleet.followers[Topic.UPSTREAMS].confirm
+        ),
         slots=fleet.shared.slots,
         rates=fleet.shared.rates,
         retries=FleetRetryBudget(
--- a/src/bergamotshed/gateway/settings.py
+++ b/src/bergamotshed/gateway/settings.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 
 from ..network_options import Address
-from ..options import Name, Number, option
+from ..options import Flag, Name, Number, option
 from ..settings import read_settings
 
 MAX_MILLISECONDS = 3_600_000
@@ -38,12 +38,14 @@
     """The identity of this process.
 
     :ivar grace_s: time from SIGTERM until the process is killed
+    :ivar first_start: the whole fleet starts for the first time
     """
 
     name: str = option(Name())
     domain: str = option(Name())
     region: str = option(Name(), default='local')
     grace_s: float = option(SECONDS, default=8.0)
+    first_start: bool = option(Flag(), default=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotshed/options.py
+++ b/src/bergamotshed/options.py
@@ -8,6 +8,7 @@
 
 __all__ = (
     'Duration',
+    'Flag',
     'Hex',
     'Integer',
     'Name',
@@ -24,6 +25,8 @@
 
 T = TypeVar('T')
 
+_FLAGS = {'true': True, 'false': False}
+
 DURATION_UNITS = {
     'ms': timedelta(milliseconds=1),
     's': timedelta(seconds=1),
@@ -68,6 +71,18 @@
         return text
 
 
+class Flag(Option[bool]):
+    """Whether something holds."""
+
+    expected = 'true or false'
+
+    def parse(self, text: str) -> bool:
+        """Return the truth value."""
+        if text not in _FLAGS:
+            raise ValueError(text)
+        return _FLAGS[text]
+
+
 class Integer(Option[int]):
     """An integer between two limits, inclusive."""
 
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -41,6 +41,7 @@
     Topic.UPSTREAMS: 'keyed.servers',
     Topic.ROUTERS: 'keyed.routers',
     Topic.SUSPECTS: 'keyed.suspects',
+    Topic.VERSIONS: 'keyed.versions',
 }
 CONFIGURATION_KEY = 'config'
 
--- a/src/bergamotshed/store/types.py
+++ b/src/bergamotshed/store/types.py
@@ -53,6 +53,7 @@
     UPSTREAMS = 'upstreams'
     ROUTERS = 'routers'
     SUSPECTS = 'suspects'
+    VERSIONS = 'versions'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotshed/upstreams/version_history.py
+++ b/src/bergamotshed/upstreams/version_history.py
@@ -5,10 +5,11 @@
 The software versions that the upstreams of each service have, or had lately.
 """
 
-__all__ = ('VersionHistory',)
+__all__ = ('Release', 'VersionHistory')
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
 from ..clock import Clock
@@ -17,8 +18,13 @@
 #: Former versions that are remembered; the oldest are dropped first.
 MAX_FORMER_VERSIONS = 4096
 
-#: A service and a version.
-_Release = tuple[str, str]
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """A service and a version of its upstreams' software."""
+
+    service: str
+    version: str
 
 
 class VersionHistory:
@@ -26,32 +32,53 @@
 
     :ivar confirmed_at: boot time at which the list was last known to be
         current; minus infinity before the first time
-    :ivar followed_since: boot time of the first list; infinity before it
+    :ivar known_since: boot time from which on all versions are known, by the
+        lists or by what was stored of earlier ones; infinity before the first
+        list
     """
 
     def __init__(self, clock: Clock) -> None:
         self.confirmed_at = -math.inf
-        self.followed_since = math.inf
+        self.known_since = math.inf
         self._clock = clock
-        self._listed: frozenset[_Release] = frozenset()
-        self._ended_at: dict[_Release, float] = {}
+        self._listed: frozenset[Release] = frozenset()
+        self._ended_at: dict[Release, float] = {}
+
+    @property
+    def listed(self) -> frozenset[Release]:
+        """Return the releases of the listed upstreams."""
+        return self._listed
+
+    @property
+    def ended_at(self) -> Mapping[Release, float]:
+        """Return until when former releases were listed, in boot time."""
+        return self._ended_at
 
     def update(self, instances: Iterable[Instance]) -> None:
         """Replace the listed upstreams."""
         listed = frozenset(
-            (instance.service, instance.version) for instance in instances
+            Release(instance.service, instance.version)
+            for instance in instances
         )
-        now = self._clock.boottime()
         for release in self._listed - listed:
-            self._ended_at.pop(release, None)
-            self._ended_at[release] = now
+            self.record_former(release, self._clock.boottime())
         self._listed = listed
+
+    def record_former(self, release: Release, ended_at: float) -> None:
+        """Record until when a release was listed, in boot time."""
+        self._ended_at[release] = max(
+            ended_at, self._ended_at.pop(release, -math.inf)
+        )
         while len(self._ended_at) > MAX_FORMER_VERSIONS:
             del self._ended_at[next(iter(self._ended_at))]
 
+    def extend(self, known_since: float) -> None:
+        """Record that all earlier versions since a boot time were added."""
+        self.known_since = min(self.known_since, known_since)
+
     def confirm(self, sent_at: float) -> None:
         """Record that the list was current at a boot time or later."""
-        self.followed_since = min(self.followed_since, sent_at)
+        self.known_since = min(self.known_since, sent_at)
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
     def recent_versions(self, service: str, within: timedelta) -> set[str]:
@@ -65,7 +92,7 @@
             if ended_at >= since
         }
         return {
-            version
-            for owner, version in self._listed | former
-            if owner == service
+            release.version
+            for release in self._listed | former
+            if release.service == service
         }
--- a/tests/forwarding/test_stream_resumption.py
+++ b/tests/forwarding/test_stream_resumption.py
@@ -1,6 +1,7 @@
 """Where a stream may go on whose origin is known, unknown or not named."""
 
 from datetime import timedelta
+from typing import Any
 
 import pytest
 
@@ -47,10 +48,25 @@
     pause: timedelta = SECOND,
     resumed_attempt: str | None = 'first',
     last_event_id: str | None = '3',
+    knows_former: bool = False,
+    list_age: timedelta = timedelta(0),
+    later: tuple[str, ...] | None = None,
 ) -> StreamOrigin | Refusal | None:
-    """Resume a stream after lists of upstreams, a pause apart."""
+    """Resume a stream after lists of upstreams, a pause apart.
+
+    :param knows_former: the versions of before the start were read
+    :param later: the list that the store holds by then; ``None`` if it does
+        not answer
+    """
     clock = ManualClock()
     versions = VersionHistory(clock)
+
+    async def confirm() -> bool:
+        if later is not None:
+            versions.update(upstreams(*later))
+            versions.confirm(clock.boottime())
+        return later is not None
+
     for listed in lists:
         clock.advance(pause)
         versions.update(upstreams(*listed))
@@ -75,8 +91,11 @@
         last_event_id=last_event_id,
         resumed_attempt=resumed_attempt,
     )
+    if knows_former:
+        versions.extend(clock.boottime() - 2 * STREAM_LIFETIME.total_seconds())
+    clock.advance(list_age)
     return await StreamResumption(
-        FixedOrigins(found), versions, clock
+        FixedOrigins(found), versions, confirm, clock
     ).find_origin(request, AdmittedRequest(route, None, 's', 10))
 
 
@@ -139,11 +158,33 @@
     assert (found == V1) is goes_on
 
 
-@pytest.mark.parametrize(
-    ('versions', 'goes_on'), [(('v1',), True), (('v1', 'v2'), False)]
-)
+# name: (list of upstreams, arguments of resume, whether the stream goes on)
+UNNAMED: dict[str, tuple[tuple[str, ...], dict[str, Any], bool]] = {
+    'one version': (('v1',), {'knows_former': True}, True),
+    'two versions': (('v1', 'v2'), {'knows_former': True}, False),
+    'former versions are unknown': (('v1',), {}, False),
+    'an old list': (
+        ('v1',),
+        {'knows_former': True, 'list_age': 3 * SECOND},
+        False,
+    ),
+    'an old list, read again': (
+        ('v1',),
+        {'knows_former': True, 'list_age': 3 * SECOND, 'later': ('v1',)},
+        True,
+    ),
+    'another version since the list': (
+        ('v1',),
+        {'knows_former': True, 'later': ('v1', 'v2')},
+        False,
+    ),
+}
+
+
+@pytest.mark.parametrize('name', UNNAMED)
 async def test_a_caller_that_names_no_attempt_needs_a_single_version(
-    versions: tuple[str, ...], goes_on: bool
+    name: str,
 ) -> None:
-    found = await resume(V1, versions, resumed_attempt=None)
+    versions, arguments, goes_on = UNNAMED[name]
+    found = await resume(V1, versions, resumed_attempt=None, **arguments)
     assert (found == V1) is goes_on
--- a/tests/gateway/members.py
+++ b/tests/gateway/members.py
@@ -54,6 +54,7 @@
     name: str,
     *,
     until_ready: bool = True,
+    first_start: bool = True,
 ) -> Member:
     """Start a gateway that has its own way to the store."""
     relay = Relay(env.store.address)
@@ -61,7 +62,9 @@
     stack.callback(relay.close)
     session = await stack.enter_async_context(ClientSession())
     clock = SystemClock()
-    settings = make_settings(relay.address, REVOKE_MS, 8, name)
+    settings = make_settings(
+        relay.address, REVOKE_MS, 8, name, first_start=first_start
+    )
     gateway = build_gateway(
         LiveSettings(settings, '', clock), session, clock, Journal()
     )
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -16,7 +16,7 @@
 )
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -127,9 +127,15 @@
 
 @asynccontextmanager
 async def running_gateway(
-    *scripts: Script, revoke_ms: float = 5000, grace_s: float = 8
+    *scripts: Script,
+    revoke_ms: float = 5000,
+    grace_s: float = 8,
+    versions: Sequence[str] = (),
 ) -> AsyncIterator[GatewayEnvironment]:
-    """Run a gateway with one upstream for each script."""
+    """Run a gateway with one upstream for each script.
+
+    :param versions: of the upstreams; the same one if they are left out
+    """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(KeyedStoreStandIn().serving())
         upstreams = [
@@ -143,9 +149,10 @@
         gateway = build_gateway(live, session, clock, Journal())
         env = GatewayEnvironment(gateway, store, upstreams)
         for number, upstream in enumerate(upstreams):
-            store.put(
-                UPSTREAMS, f'i-{number}', upstream_entry(upstream.address)
-            )
+            entry = upstream_entry(upstream.address)
+            if versions:
+                entry['version'] = versions[number]
+            store.put(UPSTREAMS, f'i-{number}', entry)
         env.configure()
         await stack.enter_async_context(serving(gateway))
         await env.wait_until_settled()
@@ -180,12 +187,17 @@
 
 
 def make_settings(
-    store: str, revoke_ms: float, grace_s: float, name: str = 'gw-1'
+    store: str,
+    revoke_ms: float,
+    grace_s: float,
+    name: str = 'gw-1',
+    *,
+    first_start: bool = True,
 ) -> GatewaySettings:
     """Return settings with free ports."""
     addresses = [f'127.0.0.1:{port}' for port in free_ports(6)]
     return GatewaySettings(
-        NodeSettings(name, 'a', grace_s=grace_s),
+        NodeSettings(name, 'a', grace_s=grace_s, first_start=first_start),
         AddressSettings(*addresses),
         StoreSettings(store, configuration_wait_ms=200),
         ConfigurationSettings(revoke_ms=revoke_ms),
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -121,7 +121,9 @@
 
     async with AsyncExitStack() as stack:
         env = await stack.enter_async_context(
-            running_gateway(*map(script_of, range(len(versions))))
+            running_gateway(
+                *map(script_of, range(len(versions))), versions=versions
+            )
         )
         processes = await stack.enter_async_context(AsyncExitStack())
         upstreams = Upstreams(env, processes, list(versions), cutting_places)
@@ -157,16 +159,18 @@
 
 
 async def resume(
-    member: Member, response: RawResponse, begun_as: str = 'first'
+    member: Member, response: RawResponse, begun_as: str | None = 'first'
 ) -> RawResponse:
-    """Take up a stream as its caller does, at a router."""
-    last_id = response.body.count(b'id:') - 1
+    """Take up a stream as its caller does, at a router.
+
+    :param begun_as: the attempt that the caller names; ``None`` for none
+    """
+    headers = {'Last-Event-Id': str(response.body.count(b'id:') - 1)}
+    if begun_as is not None:
+        headers['Resumes'] = begun_as
     async with asyncio.timeout(AT_ONCE_S):
         return await send_request(
-            member.port,
-            PATH,
-            attempt='second',
-            headers={'Last-Event-Id': str(last_id), 'Resumes': begun_as},
+            member.port, PATH, attempt='second', headers=headers
         )
 
 
@@ -347,3 +351,62 @@
         second = await resume(router, first)
         assert second.body == events(CUT_AFTER + 1, EVENT_COUNT)
         assert len(upstreams.env.upstreams[1].requests) == before
+
+
+async def restart_all(
+    upstreams: Upstreams, removed: int | None, *, is_removed_before: bool
+) -> Member:
+    """Kill all routers and start one, with an upstream gone in between."""
+    if removed is not None and is_removed_before:
+        upstreams.env.store.put(UPSTREAMS, f'i-{removed}', b'')
+        # The time in which a change is written.
+        await asyncio.sleep(2)
+    upstreams.members.clear()
+    await upstreams.processes.aclose()
+    if removed is not None and not is_removed_before:
+        upstreams.env.store.put(UPSTREAMS, f'i-{removed}', b'')
+    router = await start_member(
+        upstreams.processes, upstreams.env, 'gw-new', first_start=False
+    )
+    count = len(upstreams.versions) - (removed is not None)
+    registry = router.gateway.fleet.registry
+    await until(lambda: len(registry.members('s')) == count)
+    await until(lambda: registry.versions.known_since < 0)
+    return router
+
+
+@pytest.mark.parametrize('begun_as', ['first', None])
+@pytest.mark.parametrize('is_removed_before', [False, True])
+async def test_streams_of_a_version_that_left_around_a_kill_are_not_joined(
+    begun_as: str | None, is_removed_before: bool
+) -> None:
+    async with running_upstreams('v1', 'v2', 'v2', cutting=(0,)) as upstreams:
+        for name in ('gw-a', 'gw-b'):
+            await upstreams.start_router(name)
+        first = await begin(upstreams, upstreams.members[0])
+        router = await restart_all(
+            upstreams, 0, is_removed_before=is_removed_before
+        )
+        second = await resume(router, first, begun_as)
+        assert second.status == 503
+        assert not [
+            run
+            for run in upstreams.runs_at('v2')
+            if 'last-event-id' in run.headers
+        ]
+
+
+@pytest.mark.parametrize('begun_as', ['first', None])
+async def test_streams_of_the_only_version_go_on_after_a_kill(
+    begun_as: str | None,
+) -> None:
+    async with running_upstreams('v1', 'v1', cutting=(0, 1)) as upstreams:
+        for name in ('gw-a', 'gw-b'):
+            await upstreams.start_router(name)
+        first = await begin(upstreams, upstreams.members[0])
+        assert first.cut
+        upstreams.cutting.clear()
+        router = await restart_all(upstreams, None, is_removed_before=False)
+        second = await resume(router, first, begun_as)
+        begun = first.body.count(b'id:')
+        assert second.body == events(begun, EVENT_COUNT)
--- a/tests/routers/test_suspectstore.py
+++ b/tests/routers/test_suspectstore.py
@@ -11,15 +11,7 @@
 from bergamotshed.routers.suspectstore import SuspectStore
 from bergamotshed.routing.crashes import Crash, CrashReport, PartSighting
 from bergamotshed.routing.part_quarantine import PartQuarantine
-from bergamotshed.store.types import (
-    Changes,
-    Entry,
-    KeyedStore,
-    Listing,
-    Position,
-    StoreUnavailable,
-    Topic,
-)
+from tests.store.memory import MemoryStore
 from tests.waiting import until
 
 PART = 0xBAD
@@ -34,32 +26,6 @@
 }
 
 
-class MemoryStore(KeyedStore):
-    """Holds the values; fails while it is down."""
-
-    def __init__(self) -> None:
-        self.values: dict[str, bytes] = {}
-        self.is_down = False
-
-    async def newest(self, topic: Topic) -> Listing:
-        self._check()
-        entries = tuple(Entry(*item) for item in self.values.items())
-        return Listing(entries, Position(None, 0))
-
-    async def read(
-        self, topic: Topic, start: Position, wait: timedelta
-    ) -> Changes:
-        raise NotImplementedError
-
-    async def put(self, topic: Topic, key: str, value: bytes) -> None:
-        self._check()
-        self.values[key] = value
-
-    def _check(self) -> None:
-        if self.is_down:
-            raise StoreUnavailable('down')
-
-
 @asynccontextmanager
 async def started(
     store: MemoryStore, *, is_home: bool = True
