--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -41,6 +41,7 @@
 from ..routes.current_table import CurrentRoutingTable
 from ..routes.table import RoutingTable
 from ..store.health import StoreHealth
+from ..store.types import Topic
 from ..upstreams.pool import ConnectionPool, PoolOptions
 from ..upstreams.reach_prober import ReachProber
 from ..upstreams.registry import UpstreamRegistry
@@ -137,6 +138,7 @@
             VersionStore(
                 fleet.store,
                 fleet.registry.versions,
+                fleet.followers[Topic.UPSTREAMS].listed.wait,
                 fleet.crashes.is_home,
                 fleet.store_health,
                 clock,
--- a/src/bergamotshed/upstreams/version_store.py
+++ b/src/bergamotshed/upstreams/version_store.py
@@ -8,7 +8,7 @@
 
 __all__ = ('VersionStore',)
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import UTC, datetime, timedelta
 
 import msgspec
@@ -58,6 +58,7 @@
 class VersionStore:
     """Reads the releases of before the start, then writes each change.
 
+    :param wait_until_listed: returns once the upstreams have been listed
     :param is_home: returns whether this router is the one that writes a key
     :param is_first_start: no router has run before, so that no stream is older
     """
@@ -66,6 +67,7 @@
         self,
         store: KeyedStore,
         versions: VersionHistory,
+        wait_until_listed: Callable[[], Awaitable[object]],
         is_home: Callable[[int], bool],
         health: StoreHealth,
         clock: Clock,
@@ -74,6 +76,7 @@
     ) -> None:
         self._store = store
         self._versions = versions
+        self._wait_until_listed = wait_until_listed
         self._is_home = is_home
         self._health = health
         self._clock = clock
@@ -86,6 +89,7 @@
 
     async def run(self) -> None:
         """Read once, then write each change, until cancelled."""
+        await self._wait_until_listed()
         while not await self._read():
             await self._clock.sleep(self._backoff.next_pause())
         while True:
--- a/tests/upstreams/test_version_store.py
+++ b/tests/upstreams/test_version_store.py
@@ -66,10 +66,13 @@
         self.health = StoreHealth(clock)
         self.versions = VersionHistory(clock)
         self._clock = clock
-        self.list(*listed)
+        self.listed = asyncio.Event()
+        if listed:
+            self.list(*listed)
         self.store = VersionStore(
             store,
             self.versions,
+            self.listed.wait,
             lambda _key: is_home,
             self.health,
             clock,
@@ -91,6 +94,7 @@
             for version in versions
         )
         self.versions.confirm(self._clock.boottime())
+        self.listed.set()
 
 
 @asynccontextmanager
@@ -150,6 +154,21 @@
         assert second.knows_former
 
 
+async def test_a_version_is_not_taken_for_gone_before_the_list_is_read() -> (
+    None
+):
+    store, clock = MemoryStore(), SteppedClock()
+    async with running(Router(store, clock, 'v1', is_first_start=True)):
+        pass
+    written = dict(store.values)
+    async with running(Router(store, clock)) as second:
+        assert not second.knows_former
+        second.list('v1')
+        await settle()
+        assert second.knows_former
+        assert store.values == written
+
+
 async def test_a_time_without_records_is_not_covered() -> None:
     # Routers of an older build do not record versions.
     store, clock = MemoryStore(), SteppedClock()
