Pass on the events that precede an error in the bytes read with it

Callers: a stream lacked events in its middle, or a request ended with 502 although another upstream could answer it.

Cause: if an event that is out of order, or too long, was read together with events before it, these were dropped, but their ids counted as passed on. The next upstream was asked to go on after them, or its events with these ids were left out.

The whole events are attached to the error and passed on before the attempt ends.

--- a/src/bergamotshed/forwarding/events.py
+++ b/src/bergamotshed/forwarding/events.py
@@ -32,7 +32,12 @@
 
 
 class EventStreamError(BergamotshedError):
-    """Base class of the errors of an event stream."""
+    """Base class of the errors of an event stream.
+
+    :ivar preceding: the whole events before the error
+    """
+
+    preceding: bytes = b''
 
 
 class EventOrderError(EventStreamError):
@@ -73,18 +78,12 @@
         # A boundary may have begun in the bytes before.
         searched = max(0, len(self._rest) - MAX_BOUNDARY_BYTES + 1)
         self._rest += piece
-        whole = []
-        start = 0
-        for boundary in _BOUNDARY.finditer(self._rest, searched):
-            event = bytes(self._rest[start : boundary.end()])
-            start = boundary.end()
-            if self._is_next(event):
-                whole.append(event)
-        del self._rest[:start]
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventTooLongError(
-                f'an event is longer than {MAX_EVENT_BYTES} bytes'
-            )
+        whole: list[bytes] = []
+        try:
+            self._take_whole(searched, whole)
+        except EventStreamError as error:
+            error.preceding = b''.join(whole)
+            raise
         return b''.join(whole)
 
     def finish(self) -> bytes:
@@ -100,6 +99,20 @@
         """Discard an incomplete event before another upstream resumes."""
         self._rest.clear()
 
+    def _take_whole(self, searched: int, whole: list[bytes]) -> None:
+        """Move whole events that were not returned before to a list."""
+        start = 0
+        for boundary in _BOUNDARY.finditer(self._rest, searched):
+            event = bytes(self._rest[start : boundary.end()])
+            start = boundary.end()
+            if self._is_next(event):
+                whole.append(event)
+        del self._rest[:start]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError(
+                f'an event is longer than {MAX_EVENT_BYTES} bytes'
+            )
+
     def _is_next(self, event: bytes) -> bool:
         found = _EVENT_ID.search(event)
         if found is None:
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -273,10 +273,12 @@
     ) -> AttemptResult:
         relay = self._relay
         while piece := await connection.read_part():
-            events = relay.splitter.feed(piece)
-            if events:
-                self._observer.record_events(instance)
-                await relay.send(metadata, events)
+            try:
+                events = relay.splitter.feed(piece)
+            except EventStreamError as error:
+                await self._relay_whole(instance, metadata, error.preceding)
+                raise
+            await self._relay_whole(instance, metadata, events)
         if self._lacks_events(metadata):
             return self._broken_result(
                 'the connection ended before the first event'
@@ -289,6 +291,14 @@
             is_answer_started=True,
         )
 
+    async def _relay_whole(
+        self, instance: Instance, metadata: AnswerMetadata, events: bytes
+    ) -> None:
+        """Pass whole events on, if there are any."""
+        if events:
+            self._observer.record_events(instance)
+            await self._relay.send(metadata, events)
+
     def _lacks_events(self, metadata: AnswerMetadata) -> bool:
         """Return whether a stream ended empty without saying that it is."""
         return (
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -225,3 +225,27 @@
     async with running_gateway(cut_stream) as setup:
         with pytest.raises(ConnectionResetError):
             await read_http_1_0(setup.port, '/stream/a')
+
+
+@pytest.mark.parametrize('begun', [0, 3])
+async def test_no_event_before_a_gap_is_lost(begun: int) -> None:
+    # Events that were read together with a misplaced one were dropped, but
+    # counted as passed on.
+    async def skips(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if 'last-event-id' in request.headers:
+            after = int(request.headers['last-event-id'])
+            rest = events(after + 1, 9)
+            writer.write(sealed_answer(request, rest, extra=EVENTS))
+            return
+        body = events(0, 5) + events(8, 9)
+        answer = sealed_answer(request, body, extra=EVENTS)
+        cut = len(answer) - len(body) + len(events(0, begun - 1))
+        writer.write(answer[:cut])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(answer[cut:])
+
+    async with running_gateway(skips, skips) as setup:
+        response = await send_request(setup.port, '/resumed/a')
+        assert response.body == events(0, 9)
+        assert not response.cut
