--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -27,10 +27,11 @@
 from ..upstreams.registry import UpstreamRegistry
 from ..upstreams.types import Instance
 from .answer_observer import AnswerObserver
+from .answer_relay import AnswerRelay
 from .crash_detector import CrashDetector
 from .crash_watch import CrashWatch
 from .dialect import Dialect
-from .exchange import AnswerRelay, Exchange
+from .exchange import Exchange
 from .outcome import AttemptOutcome, AttemptResult, can_retry
 from .peer_forwarder import PeerForwarder
 from .request_admission import AdmittedRequest, RequestAdmission
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -6,7 +6,7 @@
 whole or event by event.
 """
 
-__all__ = ('AnswerRelay', 'Exchange', 'ExchangeObserver')
+__all__ = ('Exchange', 'ExchangeObserver')
 
 import asyncio
 from abc import ABC, abstractmethod
@@ -21,8 +21,9 @@
     UpstreamAnswerBroken,
     UpstreamNotReached,
 )
+from .answer_relay import AnswerRelay
 from .dialect import Dialect
-from .events import EventSplitter, EventStreamError
+from .events import EventStreamError
 from .outcome import (
     HTTP_MULTIPLE_CHOICES,
     AttemptOutcome,
@@ -30,7 +31,6 @@
 )
 from .types import (
     AnswerMetadata,
-    AnswerSink,
     RequestMetadata,
     RoutedRequest,
     StreamedAnswer,
@@ -51,41 +51,6 @@
 HTTP_SERVER_ERROR = 500
 
 
-class AnswerRelay:
-    """Passes an answer on to the caller, across all attempts.
-
-    :param last_event_id: id of the last event that the caller had received
-        before this request; ``None`` if it does not resume a stream
-    :ivar splitter: holds the id of the last event that was passed on
-    :ivar is_started: the head was sent
-    """
-
-    def __init__(self, sink: AnswerSink, last_event_id: int | None) -> None:
-        self.splitter = EventSplitter(last_event_id)
-        self.is_started = False
-        self._sink = sink
-
-    async def send(self, metadata: AnswerMetadata, piece: bytes) -> None:
-        """Send a piece; the head goes before the first one."""
-        if not self.is_started:
-            self.is_started = True
-            await self._sink.start(metadata.status, metadata.caller_headers)
-        if piece:
-            await self._sink.write(piece)
-
-    async def finish(self, metadata: AnswerMetadata) -> None:
-        """Send the bytes after the last event and end the answer.
-
-        :raises EventIncompleteError: the stream ended inside an event
-        """
-        await self.send(metadata, self.splitter.finish())
-        await self._sink.finish()
-
-    def abort(self) -> None:
-        """Break the caller's connection; the answer stays incomplete."""
-        self._sink.abort()
-
-
 class ExchangeObserver(ABC):
     """Is notified while an answer arrives; override all methods."""
 
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -7,7 +7,8 @@
 from hypothesis import event, given, settings
 from hypothesis import strategies as st
 
-from bergamotshed.forwarding.exchange import AnswerRelay, Exchange
+from bergamotshed.forwarding.answer_relay import AnswerRelay
+from bergamotshed.forwarding.exchange import Exchange
 from bergamotshed.forwarding.outcome import AttemptOutcome
 from bergamotshed.forwarding.types import (
     RequestMetadata,
