--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -27,7 +27,6 @@
 from ..upstreams.registry import UpstreamRegistry
 from ..upstreams.types import Instance
 from .answer_observer import AnswerObserver
-from .answer_relay import AnswerRelay
 from .crash_detector import CrashDetector
 from .crash_watch import CrashWatch
 from .dialect import Dialect
@@ -107,10 +106,6 @@
         sink: AnswerSink,
         begun: StreamOrigin | None = None,
     ) -> None:
-        last_event_id = request.last_event_id or ''
-        self.relay = AnswerRelay(
-            sink, int(last_event_id) if last_event_id.isdecimal() else None
-        )
         self.failure: UpstreamAnswer | None = None
         self.watch = CrashWatch(
             dependencies.crashes, request, dependencies.clock
@@ -130,12 +125,13 @@
         self._admitted = admitted
         self._exchange = Exchange(
             request,
-            self.relay,
+            sink,
             dependencies.dialect,
             dependencies.pool,
             self._observer,
             repeatable=not self._is_run_once,
         )
+        self.relay = self._exchange.relay
         self._tried: set[str] = set()
         self._attempt_count = 0
         self._unreached_count = 0
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -12,6 +12,7 @@
 from abc import ABC, abstractmethod
 from datetime import timedelta
 
+from ..decoding import parse_number
 from ..upstreams.connection import UpstreamConnection
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.types import (
@@ -31,6 +32,7 @@
 )
 from .types import (
     AnswerMetadata,
+    AnswerSink,
     RequestMetadata,
     RoutedRequest,
     StreamedAnswer,
@@ -78,6 +80,7 @@
 
     :param observer: is notified as soon as an answer's head is read
     :param repeatable: the request may run more than once
+    :ivar relay: passes the answer on and records what the caller received
     :ivar answer_metadata: from the head of the current or last exchange's
         answer; ``None`` if there is none
     :ivar may_have_run: whether an upstream may have run the request, over all
@@ -87,17 +90,19 @@
     def __init__(
         self,
         request: RoutedRequest,
-        relay: AnswerRelay,
+        sink: AnswerSink,
         dialect: Dialect,
         pool: ConnectionPool,
         observer: ExchangeObserver,
         *,
         repeatable: bool,
     ) -> None:
+        self.relay = AnswerRelay(
+            sink, parse_number(request.last_event_id or '')
+        )
         self.answer_metadata: AnswerMetadata | None = None
         self.may_have_run = False
         self._request = request
-        self._relay = relay
         self._dialect = dialect
         self._pool = pool
         self._observer = observer
@@ -117,7 +122,7 @@
             upstream counts as silent; ``None`` for no timeout
         """
         self.answer_metadata = None
-        self._relay.splitter.restart()
+        self.relay.splitter.restart()
         try:
             connection = await self._pool.acquire(
                 instance.address,
@@ -148,8 +153,8 @@
         patience: timedelta | None,
     ) -> AttemptResult:
         request = self._request
-        last_id = self._relay.splitter.last_id
-        if self._relay.is_started and last_id is not None:
+        last_id = self.relay.splitter.last_id
+        if self.relay.is_started and last_id is not None:
             request = request.resumed_after(str(last_id))
         if not connection.send(
             self._dialect.write_request(request, request_metadata)
@@ -236,7 +241,7 @@
         instance: Instance,
         metadata: AnswerMetadata,
     ) -> AttemptResult:
-        relay = self._relay
+        relay = self.relay
         while piece := await connection.read_part():
             try:
                 events = relay.splitter.feed(piece)
@@ -262,13 +267,13 @@
         """Pass whole events on, if there are any."""
         if events:
             self._observer.record_events(instance)
-            await self._relay.send(metadata, events)
+            await self.relay.send(metadata, events)
 
     def _lacks_events(self, metadata: AnswerMetadata) -> bool:
         """Return whether a stream ended empty without saying that it is."""
         return (
             metadata.delimitation is Delimitation.CONNECTION
-            and not self._relay.is_started
+            and not self.relay.is_started
             and self._request.last_event_id is None
         )
 
@@ -280,7 +285,7 @@
             buffered += piece
             if len(buffered) > MAX_BUFFERED_BYTES:
                 break
-        if self._relay.is_started:
+        if self.relay.is_started:
             # A stream goes on with events only; the caller has its head.
             return AttemptResult(
                 AttemptOutcome.FAILED,
@@ -304,10 +309,10 @@
         metadata: AnswerMetadata,
         buffered: bytearray,
     ) -> AttemptResult:
-        await self._relay.send(metadata, bytes(buffered))
+        await self.relay.send(metadata, bytes(buffered))
         while piece := await connection.read_part():
-            await self._relay.send(metadata, piece)
-        await self._relay.finish(metadata)
+            await self.relay.send(metadata, piece)
+        await self.relay.finish(metadata)
         return AttemptResult(
             AttemptOutcome.ANSWERED,
             '',
@@ -320,7 +325,7 @@
             AttemptOutcome.BROKEN,
             detail,
             None,
-            is_answer_started=self._relay.is_started,
+            is_answer_started=self.relay.is_started,
         )
 
     def _return_connection(
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -7,7 +7,6 @@
 from hypothesis import event, given, settings
 from hypothesis import strategies as st
 
-from bergamotshed.forwarding.answer_relay import AnswerRelay
 from bergamotshed.forwarding.exchange import Exchange
 from bergamotshed.forwarding.outcome import AttemptOutcome
 from bergamotshed.forwarding.types import (
@@ -133,7 +132,7 @@
     pool = SegmentedPool(answer.segments, answer.ending)
     exchange = Exchange(
         REQUEST,
-        AnswerRelay(sink, None),
+        sink,
         PlatformDialect(),
         pool,
         UnobservedExchange(),
