Let no error behind the events of a stream pass as one of them

Callers: an error's text, or its whole head, stood in the middle of a stream, which then ended as complete or went on.

Cause: in a stream without a length the bytes that an upstream writes behind its last event are a part of the body.

Each line of an event has to be a comment or a field; fields that the format does not define come first, as the users' stream of a new version has them; and after an event with an id there is none without.

--- a/src/bergamotshed/forwarding/events.py
+++ b/src/bergamotshed/forwarding/events.py
@@ -7,6 +7,7 @@
 """
 
 __all__ = (
+    'EventFormatError',
     'EventIncompleteError',
     'EventOrderError',
     'EventSplitter',
@@ -27,6 +28,13 @@
 #: Two line ends of two bytes.
 MAX_BOUNDARY_BYTES = 4
 MAX_EVENT_BYTES = 131_072
+_FIELD_NAME = rb'(?:id|event|data|retry)'
+#: Lines of an event: fields that the format does not define, then comments and
+#: fields that it defines.
+_EVENT_LINES = re.compile(
+    rb'(?:(?!%b:)[a-z][a-z0-9-]*+:[^\r\n]*+%b)*+' % (_FIELD_NAME, _LINE_END)
+    + rb'(?:(?:%b?:[^\r\n]*+|%b)?%b)*+' % (_FIELD_NAME, _FIELD_NAME, _LINE_END)
+)
 #: What may follow the last event: empty lines and whole comments.
 _BETWEEN_EVENTS = re.compile(rb'(?:(?::[^\r\n]*)?' + _LINE_END + rb')*')
 
@@ -44,6 +52,14 @@
     """An event is missing or came out of order."""
 
 
+class EventFormatError(EventStreamError):
+    """An event has a line that is no field, or lacks its id.
+
+    An upstream that breaks off a stream without a length may write an error
+    after it.
+    """
+
+
 class EventIncompleteError(EventStreamError):
     """The stream ended inside an event, so it was broken off."""
 
@@ -72,6 +88,7 @@
 
         Events whose ids were returned before are left out.
 
+        :raises EventFormatError: the bytes are no event
         :raises EventOrderError: an event is missing
         :raises EventTooLongError: an event does not end
         """
@@ -114,8 +131,11 @@
             )
 
     def _is_next(self, event: bytes) -> bool:
+        if _EVENT_LINES.fullmatch(event) is None:
+            raise EventFormatError('a line that is no field of an event')
         found = _EVENT_ID.search(event)
         if found is None:
+            self._check_lacks_id(event)
             return True
         number = parse_number(found[1].decode())
         if number is None:
@@ -129,3 +149,8 @@
                 )
         self.last_id = number
         return True
+
+    def _check_lacks_id(self, event: bytes) -> None:
+        """Check bytes without an id; only comments may follow events."""
+        if self.last_id is not None and not _BETWEEN_EVENTS.fullmatch(event):
+            raise EventFormatError(f'no id after event {self.last_id}')
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -12,7 +12,11 @@
 
 from bergamotshed.upstreams.pool import ConnectionPool
 from bergamotshed.upstreams.types import UpstreamNotReached
-from tests.standins.rawupstream import RawRequest, sealed_answer
+from tests.standins.rawupstream import (
+    RawRequest,
+    reset_connection,
+    sealed_answer,
+)
 from tests.waiting import until
 
 from .members import Member, start_member, wait_until_acquainted
@@ -182,6 +186,32 @@
         assert set(runs.values()) == {1}
 
 
+@pytest.mark.parametrize('size', [9, 400_000])
+@pytest.mark.parametrize('status', ['200 OK', '404 Not Found', '500 Failed'])
+async def test_a_peers_error_does_not_go_into_a_stream(
+    status: str, size: int
+) -> None:
+    async def first_cut(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if 'last-event-id' in request.headers:
+            writer.write(sealed_answer(request, b'e' * size, status))
+            return
+        head = sealed_answer(request, b'', sized=False, extra=EVENTS)
+        writer.write(head + events(0, EVENT_COUNT))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset_connection(writer)
+
+    async with running_fleet(size=2, script=first_cut) as fleet:
+        fleet.cut(0, 'refuse')
+        await asyncio.sleep(CONTACT_S)
+        response = await send_request(fleet.members[0].port, '/resumed/a')
+        assert fleet.members[1].gateway.relay.received_count
+        assert response.cut
+        assert response.body == events(0, EVENT_COUNT)
+
+
 async def test_callers_are_served_while_most_routers_are_cut_off() -> None:
     async with running_fleet(size=4) as fleet:
         for place in (0, 1, 2):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -249,3 +249,51 @@
         response = await send_request(setup.port, '/resumed/a')
         assert response.body == events(0, 9)
         assert not response.cut
+
+
+ERRORS = {
+    'head': 'HTTP/1.1 500 Failed\r\nServer: x\r\nContent-Length: 0\r\n\r\n',
+    'head and text': 'HTTP/1.1 500 Failed\r\nServer: x\r\n\r\nfailed\n\n',
+    'bare text': 'upstream failed\n\n',
+    'field and text': 'data: x\nupstream failed\n\n',
+    'event without an id': 'data: x\n\n',
+}
+
+
+# Inside an event these can't be told from its data.
+PLAIN_ERRORS = frozenset(('bare text', 'event without an id'))
+PLACES = [
+    (name, is_inside)
+    for name in ERRORS
+    for is_inside in (False, True)
+    if not (is_inside and name in PLAIN_ERRORS)
+]
+
+
+@pytest.mark.parametrize(('name', 'is_inside'), PLACES)
+@pytest.mark.parametrize('path', ['/stream/a', '/resumed/a'])
+async def test_an_error_behind_events_does_not_go_into_their_stream(
+    path: str, name: str, is_inside: bool
+) -> None:
+    # A stream without a length broke off, and its upstream wrote an error.
+    started = events(0, 2)
+    if is_inside:
+        started += b'id: 3\ndata: x'
+
+    async def breaks_off(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if 'last-event-id' in request.headers:
+            after = int(request.headers['last-event-id'])
+            rest = events(after + 1, 6)
+            writer.write(sealed_answer(request, rest, extra=EVENTS))
+            return
+        head = sealed_answer(request, b'', sized=False, extra=EVENTS)
+        writer.write(head + started + ERRORS[name].encode())
+        writer.close()
+
+    async with running_gateway(breaks_off, breaks_off) as setup:
+        response = await send_request(setup.port, path)
+        is_resumable = path == '/resumed/a'
+        assert response.body == events(0, 6 if is_resumable else 2)
+        assert response.cut is not is_resumable
