Do not end a stream whose next upstream closes without an event

Callers: a stream that broke off ended as if it were complete.

Cause: an answer without a length that ends before its first event was taken for an empty rest of a stream that had begun.

Such an attempt is broken now, as a first one already was: another upstream is tried, or the caller's connection is cut. A stream that the caller itself resumes may still have nothing left.

--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -242,6 +242,7 @@
         metadata: AnswerMetadata,
     ) -> AttemptResult:
         relay = self.relay
+        has_events = False
         while piece := await connection.read_part():
             try:
                 events = relay.splitter.feed(piece)
@@ -249,7 +250,8 @@
                 await self._relay_whole(instance, metadata, error.preceding)
                 raise
             await self._relay_whole(instance, metadata, events)
-        if self._lacks_events(metadata):
+            has_events |= bool(events)
+        if not has_events and self._lacks_events(metadata):
             return self._broken_result(
                 'the connection ended before the first event'
             )
@@ -270,11 +272,17 @@
             await self.relay.send(metadata, events)
 
     def _lacks_events(self, metadata: AnswerMetadata) -> bool:
-        """Return whether a stream ended empty without saying that it is."""
+        """Return whether an empty stream ended without saying that it is.
+
+        One that the caller itself resumes may have nothing left.
+        """
+        is_resumed_by_caller = (
+            not self.relay.is_started
+            and self._request.last_event_id is not None
+        )
         return (
             metadata.delimitation is Delimitation.CONNECTION
-            and not self.relay.is_started
-            and self._request.last_event_id is None
+            and not is_resumed_by_caller
         )
 
     async def _read_plain(
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -297,3 +297,21 @@
         is_resumable = path == '/resumed/a'
         assert response.body == events(0, 6 if is_resumable else 2)
         assert response.cut is not is_resumable
+
+
+async def test_a_stream_whose_next_upstream_ends_at_once_is_not_complete() -> (
+    None
+):
+    async def first_cut(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if 'last-event-id' not in request.headers:
+            await cut_stream(request, writer)
+            return
+        writer.write(delimited_answer(request, b'', 'connection'))
+        writer.close()
+
+    async with running_gateway(first_cut, first_cut) as setup:
+        response = await send_request(setup.port, '/resumed/a')
+        assert response.cut
+        assert response.body == events(0, 2)
