Tell the other routers how many requests are on each upstream

Cause: with 33 routers each gets an answer, and so a report, of an upstream every few seconds. Of 291 requests that reached an upstream over the limit, 250 were placed by a router that knew of no request there, none by one that knew of more than two.

Each heartbeat has the sender's counts of its 16 fullest upstreams; a receiver adds them up for 1.5 s, and believes them or a report, whichever is more. An older build ignores the new field.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -40,6 +40,7 @@
 from ..routers.suspectstore import SuspectStore
 from ..routes.current_table import CurrentRoutingTable
 from ..routes.table import RoutingTable
+from ..routing.upstream_loads import UpstreamLoads
 from ..store.health import StoreHealth
 from ..store.types import Topic
 from ..upstreams.pool import ConnectionPool, PoolOptions
@@ -179,8 +180,10 @@
             routing,
             shutdown,
             lambda: prober.lost_services,
+            lambda: heartbeats.loads.own,
         ).build,
         routing.hear_version,
+        UpstreamLoads(clock),
         clock,
     )
     notices = ConfirmedNotices(entry.name, heartbeats.mesh, roster, clock)
--- a/src/bergamotshed/gateway/forwarding_parts.py
+++ b/src/bergamotshed/gateway/forwarding_parts.py
@@ -28,7 +28,6 @@
     FleetRetryBudget,
     FleetRetryBudgetOptions,
 )
-from ..routing.upstream_loads import UpstreamLoads
 from ..store.confirmation import SharedConfirmation
 from ..store.types import Topic
 from ..upstreams.pool import PoolOptions
@@ -61,7 +60,7 @@
     :param session: HTTP client session for the peers
     """
     rng = random.Random()
-    loads = UpstreamLoads(clock)
+    loads = fleet.heartbeats.loads
     return ForwardingDependencies(
         admission=RequestAdmission(
             lambda: admission_options(live.current),
--- a/src/bergamotshed/gateway/heartbeat.py
+++ b/src/bergamotshed/gateway/heartbeat.py
@@ -13,13 +13,15 @@
 from ..process.shutdown import ShutdownWindow
 from ..routers.messages import GatewayHeartbeat
 from ..routes.current_table import CurrentRoutingTable
+from ..routing.peer_loads import OwnLoad
 
 
 class HeartbeatBuilder:
-    """Reports whether this gateway accepts requests.
+    """Reports whether this gateway accepts requests and how many it has.
 
     :param max_age: age of the configuration from which on it does not
     :param lost_services: returns the services that it does not reach
+    :param own_loads: returns its requests on upstreams
     """
 
     def __init__(
@@ -28,11 +30,13 @@
         routing: CurrentRoutingTable,
         shutdown: ShutdownWindow,
         lost_services: Callable[[], Iterable[str]],
+        own_loads: Callable[[], tuple[OwnLoad, ...]],
     ) -> None:
         self._max_age_s = max_age.total_seconds()
         self._routing = routing
         self._shutdown = shutdown
         self._lost_services = lost_services
+        self._own_loads = own_loads
 
     def build(self) -> GatewayHeartbeat:
         """Return the next heartbeat."""
@@ -44,4 +48,5 @@
             is_ready,
             self._routing.version,
             tuple(sorted(self._lost_services())),
+            self._own_loads(),
         )
--- a/src/bergamotshed/routers/gatewayheartbeats.py
+++ b/src/bergamotshed/routers/gatewayheartbeats.py
@@ -16,6 +16,7 @@
 from eliot import log_message
 
 from ..clock import Clock
+from ..routing.upstream_loads import UpstreamLoads
 from ..routing.view import RouterNode
 from .mesh import PeerMesh
 from .messages import GatewayHeartbeat, HeartbeatRequest, Message
@@ -41,6 +42,7 @@
     :param nodes: returns the listed routers, including this one
     :param own_heartbeat: returns the heartbeat of this router
     :param hear_version: receives the versions of others
+    :ivar loads: the requests on upstreams, of this router and of others
     """
 
     def __init__(
@@ -50,8 +52,10 @@
         nodes: Callable[[], Sequence[RouterNode]],
         own_heartbeat: Callable[[], GatewayHeartbeat],
         hear_version: Callable[[int], None],
+        loads: UpstreamLoads,
         clock: Clock,
     ) -> None:
+        self.loads = loads
         self._mesh = mesh
         self._name = name
         self._hear_version = hear_version
@@ -159,6 +163,7 @@
         self._received_at[peer] = self._clock.boottime()
         self._latest_heartbeats[peer] = heartbeat
         self._hear_version(heartbeat.version)
+        self.loads.peers.record(peer, heartbeat.loads)
 
     async def _ask(self, peer: str) -> None:
         answer = await self._mesh.ask(
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -257,11 +257,14 @@
     :ivar ready: whether it takes requests
     :ivar version: version of its configuration, -1 for none
     :ivar lost_services: services whose upstreams it can't connect to
+    :ivar loads: keys of upstreams and its requests there, see
+        :class:`~bergamotshed.routing.upstream_loads.UpstreamLoads`
     """
 
     ready: bool
     version: int
     lost_services: tuple[str, ...] = ()
+    loads: tuple[tuple[int, int], ...] = ()
 
 
 Message = (
--- a/src/bergamotshed/routing/upstream_loads.py
+++ b/src/bergamotshed/routing/upstream_loads.py
@@ -7,13 +7,17 @@
 
 __all__ = ('ExchangeOutcome', 'UpstreamLoad', 'UpstreamLoads')
 
+import heapq
 import math
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from operator import itemgetter
 
 from ..clock import Clock
 from ..upstreams.types import Incarnation, Instance, ReportedLoad
+from .hashing import stable_hash
+from .peer_loads import OwnLoad, PeerLoads
 
 #: A failing upstream gets no requests for this time while others can take
 #: them; the time doubles with each consecutive failure, up to the maximum.
@@ -24,6 +28,10 @@
 MAX_TOLERATED_FAILURES = 1
 #: Maximum age at which an upstream's report of its load is used.
 REPORT_LIFETIME = timedelta(milliseconds=1500)
+#: Upstreams whose counts a router tells its peers; about six bytes each.
+MAX_OWN_LOADS = 16
+#: Keys have four bytes.
+KEY_RANGE = 1 << 32
 
 
 class ExchangeOutcome(Enum):
@@ -45,6 +53,7 @@
 class UpstreamLoad:
     """The load and health of one upstream.
 
+    :ivar key: names the upstream in messages between routers
     :ivar in_flight: requests of this router on the upstream
     :ivar reported: running and waiting requests of all routers, from the
         upstream's newest report
@@ -55,6 +64,7 @@
     :ivar ejected_until: in monotonic seconds
     """
 
+    key: int = 0
     in_flight: int = 0
     reported: int = 0
     reported_at: float = -math.inf
@@ -65,17 +75,33 @@
 
 
 class UpstreamLoads:
-    """Loads by the upstream's incarnation."""
+    """Loads by the upstream's incarnation.
+
+    :ivar peers: the requests of the other routers, as they say themselves
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._loads: dict[Incarnation, UpstreamLoad] = {}
+        self.peers = PeerLoads(clock)
+
+    @property
+    def own(self) -> tuple[OwnLoad, ...]:
+        """Return the counts of this router that others should know, at most
+        those of the upstreams on which it has most requests.
+        """
+        counts = (
+            (load.key, load.in_flight)
+            for load in self._loads.values()
+            if load.in_flight
+        )
+        return tuple(heapq.nlargest(MAX_OWN_LOADS, counts, key=itemgetter(1)))
 
     def load_of(self, instance: Instance) -> UpstreamLoad:
         """Return the load of an upstream, created on first use."""
         load = self._loads.get(instance.incarnation)
         if load is None:
-            load = UpstreamLoad()
+            load = UpstreamLoad(_upstream_key(instance))
             self._loads[instance.incarnation] = load
         return load
 
@@ -119,13 +145,14 @@
     def estimate_load(self, instance: Instance) -> int:
         """Return an estimate of the requests on an upstream.
 
-        The requests of other routers are taken from its newest report.
+        The requests of other routers are taken from its newest report and from
+        what they say; each may lag, so the larger number counts.
         """
         load = self.load_of(instance)
+        others = self.peers.total(load.key)
         age = self._clock.monotonic() - load.reported_at
-        if age > REPORT_LIFETIME.total_seconds():
-            return load.in_flight
-        others = max(0, load.reported - load.own_at_report)
+        if age <= REPORT_LIFETIME.total_seconds():
+            others = max(others, load.reported - load.own_at_report)
         return load.in_flight + others
 
     def forget_unlisted(self, instances: list[Instance]) -> None:
@@ -141,3 +168,8 @@
 def _ejection_s(failures: int) -> float:
     doubled = MIN_EJECTION.total_seconds() * float(2**failures) / 2
     return min(doubled, MAX_EJECTION.total_seconds())
+
+
+def _upstream_key(instance: Instance) -> int:
+    key = stable_hash('upstream', instance.name, str(instance.born))
+    return key % KEY_RANGE
--- a/tests/routers/test_slothomes.py
+++ b/tests/routers/test_slothomes.py
@@ -13,6 +13,7 @@
 from bergamotshed.routing.brittle import max_in_flight
 from bergamotshed.routing.cache_source import subject_order
 from bergamotshed.routing.types import Outcome, Placement, PlacementRequest
+from bergamotshed.routing.upstream_loads import UpstreamLoads
 from bergamotshed.routing.view import RouterNode
 from tests.routing.test_affinity import FixedListing, instance
 from tests.waiting import until
@@ -47,6 +48,7 @@
             lambda: self.nodes,
             lambda: GatewayHeartbeat(True, 1),
             lambda _version: None,
+            UpstreamLoads(clock),
             clock,
         )
         self.slots = SlotHomes(
--- a/tests/routing/test_load_bound.py
+++ b/tests/routing/test_load_bound.py
@@ -1,4 +1,4 @@
-"""Plays many routers that place without messages between each other.
+"""Plays many routers that place by reports and by each other's heartbeats.
 
 Judges the platform's bound from what the upstreams hold: no more than a small
 part of the requests may reach one that has over twice the mean, plus 3.
@@ -33,6 +33,10 @@
 WARM_HEAD_S = 0.04
 #: Durations of the kinds of answers, equally frequent.
 ANSWERS_S = (0.1, 0.8, 1.5)
+#: Time between two heartbeats of a router with up to so many peers; the rate of
+#: its messages stays the same with more.
+HEARTBEAT_S = 0.5
+PEERS_PER_HEARTBEAT = 32
 #: A few subjects have most requests: weights fall with the rank.
 SKEW = 0.6
 
@@ -119,16 +123,24 @@
         ]
         self._subjects = [f'p{number}' for number in range(fleet.subjects)]
         self._weights = [(rank + 1) ** -SKEW for rank in range(fleet.subjects)]
-        self._events: list[tuple[float, int, str, Router, Instance]] = []
+        self._events: list[tuple[float, int, str, Router, Instance | None]] = []
         self._event_numbers = itertools.count()
 
     def run(self) -> None:
+        for router in self._routers:
+            first_s = self._rng.uniform(0, self._heartbeat_s)
+            self._schedule(first_s, 'heartbeat', router)
         arrival_s = self._next_arrival(0)
         while arrival_s < self._fleet.duration_s:
             self._handle_events(arrival_s)
             self._send(arrival_s)
             arrival_s = self._next_arrival(arrival_s)
 
+    @property
+    def _heartbeat_s(self) -> float:
+        peers = len(self._routers) - 1
+        return HEARTBEAT_S * max(1, peers / PEERS_PER_HEARTBEAT)
+
     def _next_arrival(self, now_s: float) -> float:
         return now_s + self._rng.expovariate(self._fleet.requests_per_s)
 
@@ -143,7 +155,11 @@
         self._schedule(end_s, 'end', router, chosen)
 
     def _schedule(
-        self, time_s: float, kind: str, router: Router, chosen: Instance
+        self,
+        time_s: float,
+        kind: str,
+        router: Router,
+        chosen: Instance | None = None,
     ) -> None:
         number = next(self._event_numbers)
         heapq.heappush(self._events, (time_s, number, kind, router, chosen))
@@ -152,7 +168,10 @@
         while self._events and self._events[0][0] <= until_s:
             time_s, _, kind, router, chosen = heapq.heappop(self._events)
             self._advance_to(time_s)
-            if kind == 'head':
+            if chosen is None:
+                self._send_heartbeat(router)
+                self._schedule(time_s + self._heartbeat_s, kind, router)
+            elif kind == 'head':
                 held = self.upstreams.in_flight[chosen.name]
                 router.loads.record_report(
                     chosen, ReportedLoad(held, 0, chosen.slots)
@@ -162,6 +181,12 @@
                 router.loads.record_end(chosen, ExchangeOutcome.ANSWERED)
         self._advance_to(until_s)
 
+    def _send_heartbeat(self, router: Router) -> None:
+        name = str(self._routers.index(router))
+        for other in self._routers:
+            if other is not router:
+                other.loads.peers.record(name, router.loads.own)
+
     def _advance_to(self, time_s: float) -> None:
         self._clock.advance(timedelta(seconds=time_s - self._clock.monotonic()))
 
