--- a/src/bergamotshed/routing/upstream_loads.py
+++ b/src/bergamotshed/routing/upstream_loads.py
@@ -28,7 +28,7 @@
 MAX_TOLERATED_FAILURES = 1
 #: Maximum age at which an upstream's report of its load is used.
 REPORT_LIFETIME = timedelta(milliseconds=1500)
-#: Upstreams whose counts a router tells its peers; about six bytes each.
+#: Upstreams whose counts a router tells its peers; seven bytes each.
 MAX_OWN_LOADS = 16
 #: Keys have four bytes.
 KEY_RANGE = 1 << 32
