--- a/src/bergamotshed/operators/gateway_command.py
+++ b/src/bergamotshed/operators/gateway_command.py
@@ -10,6 +10,7 @@
 import gc
 import os
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING, ClassVar
 
 from ..process.libraries import configure_libraries
@@ -40,7 +41,7 @@
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         # Imported here for the same reason as in router_command.py.
         from ..gateway.settings import load_gateway_settings
-        from ..platform.names import SETTINGS_VARIABLE
+        from ..platform.names import FIRST_START_VARIABLE, SETTINGS_VARIABLE
 
         path = options.named['settings'] or os.environ.get(
             SETTINGS_VARIABLE, ''
@@ -48,6 +49,9 @@
         if not path:
             raise UsageError('option --settings is needed')
         settings = load_gateway_settings(path)
+        if os.environ.get(FIRST_START_VARIABLE) == 'true':
+            node = replace(settings.node, first_start=True)
+            settings = replace(settings, node=node)
         configure_libraries()
         try:
             return _run(settings, path)
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -11,6 +11,7 @@
     'CONFIGURATION_KEY',
     'DEADLINE',
     'ERA',
+    'FIRST_START_VARIABLE',
     'HTTP_GONE',
     'INSTANCE_EXPECTED',
     'LOAD',
@@ -34,6 +35,8 @@
 
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'BERGAMOTSHED_BOOT'
+#: Environment variable that is ``true`` at the first start of the whole fleet.
+FIRST_START_VARIABLE = 'BERGAMOTSHED_FIRST_START'
 
 #: Topics of the store; each has a single partition.
 TOPICS = {
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -9,6 +9,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import msgspec
 import pytest
 from aiohttp import ClientError, ClientSession
 
@@ -45,8 +46,14 @@
 
 
 class GatewayProcess:
-    def __init__(self, path: Path, ports: dict[str, int]) -> None:
+    def __init__(
+        self,
+        path: Path,
+        ports: dict[str, int],
+        variables: dict[str, str] | None = None,
+    ) -> None:
         self.path = path
+        self._variables = variables or {}
         self.ports = ports
         self.started: asyncio.subprocess.Process | None = None
 
@@ -65,6 +72,7 @@
                 **os.environ,
                 'PYTHONPATH': str(ROOT / 'src'),
                 'BERGAMOTSHED_BOOT': str(self.path),
+                **self._variables,
             },
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
@@ -84,12 +92,12 @@
 
 @asynccontextmanager
 async def gateway_process(
-    tmp_path: Path, store: str, grace_s: float = 3
+    tmp_path: Path, store: str, grace_s: float = 3, **variables: str
 ) -> AsyncIterator[GatewayProcess]:
     ports = dict(zip(LISTENING, free_ports(len(LISTENING)), strict=True))
     path = tmp_path / 'gateway.ini'
     path.write_text(settings_text(ports, store, grace_s))
-    gateway = GatewayProcess(path, ports)
+    gateway = GatewayProcess(path, ports, variables)
     await gateway.start()
     try:
         yield gateway
@@ -312,3 +320,20 @@
     assert gateway.running.returncode == 2
     assert message in errors
     assert errors.count(b'\n') == 1
+
+
+@pytest.mark.parametrize('first_start', ['true', 'false', ''])
+async def test_the_platform_tells_whether_the_fleet_starts_first(
+    first_start: str, tmp_path: Path
+) -> None:
+    async with (
+        KeyedStoreStandIn().serving() as store,
+        gateway_process(
+            tmp_path, store.address, BERGAMOTSHED_FIRST_START=first_start
+        ),
+    ):
+        records = store.records.setdefault('keyed.versions', [])
+        await until(lambda: 'period' in dict(records))
+        since, until_ms = msgspec.msgpack.decode(dict(records)['period'])
+        assert (since == 0) is (first_start == 'true')
+        assert until_ms > since
