Soak: upstreams that run a request and refuse it, callers that name no attempt

FailingEngine has three more modes: an earlier refusal again, a part of one before the answer, and a 503 that does not say whether the request ran. Half of the resumed streams name no attempt, and the routers know the fleet's first start.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,8 @@
 CALL_TIMEOUT_S = 4.0
 DEADLINE_MS = 2500
 MAX_PAUSE_S = 0.05
+#: Share of the resumed streams whose callers name the attempt that began them.
+NAMED_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +153,9 @@
             f'Authorization: Bearer {key}\r\n'
         )
         if resumed is not None:
-            head += (
-                f'Last-Event-Id: {resumed.next_event - 1}\r\n'
-                f'Resumes: {resumed.begun_as}\r\n'
-            )
+            head += f'Last-Event-Id: {resumed.next_event - 1}\r\n'
+            if self._rng.random() < NAMED_SHARE:
+                head += f'Resumes: {resumed.begun_as}\r\n'
         try:
             self._writer.write(f'{head}\r\n'.encode())
             async with asyncio.timeout(CALL_TIMEOUT_S):
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -56,8 +56,10 @@
 
     :ivar mode: behaviour of about half of its answers: ``fine`` (normal),
         ``mute`` (5 seconds late), ``reset``, ``fail`` (status 500), ``full``
-        (not run, 503), ``extra`` (a second answer after the first) or ``cut``
-        (closes the connection within the answer)
+        (not run, 503), ``extra`` (a second answer after the first), ``cut``
+        (closes the connection within the answer), or, although it has run the
+        request, ``repeat`` (an earlier refusal), ``torn`` (a part of one, then
+        the answer) or ``unsaid`` (a 503 of its own)
     :ivar drained_at: monotonic time in seconds at which the store
         acknowledged its state ``draining``, or ``None``
     """
@@ -77,6 +79,7 @@
         self.upstream = RawUpstream(self._handle)
         self.proxy: FaultyProxy
         self._record_run = record_run
+        self._used_connections: set[int] = set()
         self._rng = rng
 
     def store_entry(self, state: str) -> dict[str, object]:
@@ -120,10 +123,30 @@
         if mode == 'cut':
             await self._cut_answer(request, writer)
             return
+        if mode == 'repeat':
+            writer.write(self._earlier_refusal(request))
+            return
+        if mode == 'unsaid':
+            writer.write(sealed_answer(request, b'', '503 Unavailable'))
+            return
+        if mode == 'torn':
+            earlier = self._earlier_refusal(request)
+            writer.write(earlier[: self._rng.randrange(1, len(earlier))])
+        self._used_connections.add(request.connection)
         await self._answer(request, writer)
         if mode == 'extra':
             writer.write(sealed_answer(request, b'once more'))
 
+    def _earlier_refusal(self, request: RawRequest) -> bytes:
+        """Return a refusal; without an id if it can be an earlier one."""
+        refusal = _refusal(request, '503 Unavailable', True)
+        own = f'Bergamotshed-Attempt-Id: {request.attempt}\r\n'.encode()
+        earlier = b'Bergamotshed-Attempt-Id: earlier\r\n'
+        is_used = request.connection in self._used_connections
+        return refusal.replace(
+            own, b'' if is_used and self._rng.random() < 0.5 else earlier
+        )
+
     async def _cut_answer(
         self, request: RawRequest, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -173,7 +173,17 @@
     async def inject(self, fleet: Fleet) -> None:
         engine = self.rng.choice(fleet.engines)
         engine.mode = self.rng.choice(
-            ('mute', 'reset', 'fail', 'full', 'extra', 'cut')
+            (
+                'mute',
+                'reset',
+                'fail',
+                'full',
+                'extra',
+                'cut',
+                'repeat',
+                'torn',
+                'unsaid',
+            )
         )
         await asyncio.sleep(self.duration_s)
         engine.mode = 'fine'
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -103,7 +103,11 @@
                 sys.executable,
                 *('-m', 'bergamotshed', 'gateway'),
                 *('--settings', str(self._settings_path)),
-                env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
+                env={
+                    **os.environ,
+                    'PYTHONPATH': str(ROOT / 'src'),
+                    'BERGAMOTSHED_FIRST_START': 'true',
+                },
                 stdout=log,
                 stderr=log,
             )
