Remember a version that comes and goes within one read of the list

Callers: a stream that such a version had begun could go on at another one.

Cause: the versions were taken from the list after all changes of a read were applied; a read after a loss of the store covers many seconds.

Evidence: the new test failed before.

--- a/src/bergamotshed/upstreams/registry.py
+++ b/src/bergamotshed/upstreams/registry.py
@@ -18,7 +18,7 @@
 from ..store.types import Entry, TopicConsumer
 from .instance_checks import InstanceMalformed
 from .types import Instance
-from .version_history import VersionHistory
+from .version_history import Release, VersionHistory
 
 #: Maximum number of removed upstreams whose last report is kept, and of names
 #: of malformed entries that are logged.
@@ -106,6 +106,10 @@
             return
         if self._is_outdated(instance):
             return
+        # It may be removed again by the same read.
+        self.versions.record_former(
+            Release(instance.service, instance.version), self._clock.boottime()
+        )
         known = self._instances.get(instance.name)
         if known is None or known.leaving != instance.leaving:
             log_message(
--- a/tests/upstreams/test_registry.py
+++ b/tests/upstreams/test_registry.py
@@ -153,3 +153,13 @@
     fixture.report('e1')
     fixture.registry.replace_entries([entry('e2')], 0)
     assert fixture.members() == ['e2']
+
+
+def test_a_version_that_came_and_went_within_one_read_is_remembered() -> None:
+    # A stream that it had begun was resumed at another version.
+    fixture = RegistryFixture()
+    fixture.report('e1')
+    brief = entry('e2', version='v2')
+    fixture.registry.apply_changes([brief, Entry('e2', b'')], 0)
+    versions = fixture.registry.versions.recent_versions('s', SECOND)
+    assert versions == {'v1', 'v2'}
