--- a/src/bergamotshed/forwarding/events.py
+++ b/src/bergamotshed/forwarding/events.py
@@ -35,6 +35,7 @@
     rb'(?:(?!%b:)[a-z][a-z0-9-]*+:[^\r\n]*+%b)*+' % (_FIELD_NAME, _LINE_END)
     + rb'(?:(?:%b?:[^\r\n]*+|%b)?%b)*+' % (_FIELD_NAME, _FIELD_NAME, _LINE_END)
 )
+_DATA = re.compile(rb'(?:\A|[\r\n])data[:\r\n]')
 #: What may follow the last event: empty lines and whole comments.
 _BETWEEN_EVENTS = re.compile(rb'(?:(?::[^\r\n]*)?' + _LINE_END + rb')*')
 
@@ -151,6 +152,6 @@
         return True
 
     def _check_lacks_id(self, event: bytes) -> None:
-        """Check bytes without an id; only comments may follow events."""
-        if self.last_id is not None and not _BETWEEN_EVENTS.fullmatch(event):
+        """Check bytes without an id; data may only precede the first id."""
+        if self.last_id is not None and _DATA.search(event):
             raise EventFormatError(f'no id after event {self.last_id}')
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 
 from bergamotshed.forwarding.events import (
+    EventFormatError,
     EventIncompleteError,
     EventOrderError,
     EventSplitter,
@@ -126,3 +127,29 @@
     received = b''.join(splitter.feed(bytes((byte,))) for byte in event)
     received += splitter.finish()
     assert received == event
+
+
+@pytest.mark.parametrize(
+    'block', [b'retry: 100\n\n', b': kept alive\n\n', b'event: x\n\n', b'\n\n']
+)
+def test_blocks_without_data_may_stand_between_events(block: bytes) -> None:
+    splitter = EventSplitter()
+    stream = events(0, 1) + block + events(2, 3)
+    assert splitter.feed(stream) == stream
+
+
+@pytest.mark.parametrize(
+    'block',
+    [
+        b'data: x\n\n',
+        b'data\n\n',
+        b'event: e\ndata: x\n\n',
+        b'x y\n\n',
+        b'X: y\n\n',
+    ],
+)
+def test_other_blocks_between_events_are_errors(block: bytes) -> None:
+    splitter = EventSplitter()
+    with pytest.raises(EventFormatError) as caught:
+        splitter.feed(events(0, 1) + block + events(2, 3))
+    assert caught.value.preceding == events(0, 1)
