Log the mean load, and the load that the upstream reported, with each attempt

A request that reached an upstream above the load bound left no trace of why: the estimate was logged only for requests with a shared prompt, without the mean by which it was judged and without the true load. With the three in one line a stale estimate (load far below upstream_load) can be told from a wrong mean (load equal, mean_load too high).

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -25,7 +25,7 @@
 from ..routing.upstream_loads import ExchangeOutcome, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
-from ..upstreams.types import Instance
+from ..upstreams.types import Instance, ReportedLoad
 from .answer_observer import AnswerObserver
 from .crash_detector import CrashDetector
 from .crash_watch import CrashWatch
@@ -315,6 +315,8 @@
             resumed_after=self._request.last_event_id,
             first_choice=placed.first_choice,
             load=placed.load,
+            mean_load=_rounded(placed.mean_load),
+            upstream_load=None if metadata is None else _total(metadata.load),
             prompt_known=not placed.is_unread,
             cache_source='' if placed.source is None else placed.source.name,
             slot=None if placed.slot is None else placed.slot.grant,
@@ -337,6 +339,14 @@
     return admitted.route.repeatability is Repeatability.RESUMABLE
 
 
+def _rounded(load: float | None) -> float | None:
+    return None if load is None else round(load, 1)
+
+
+def _total(load: ReportedLoad | None) -> int | None:
+    return None if load is None else load.running + load.waiting
+
+
 def _logged_parts(request: RoutedRequest, result: AttemptResult) -> list[str]:
     """Return the parts of the prompt if the upstream may have crashed."""
     if result.outcome is not AttemptOutcome.BROKEN:
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -141,7 +141,7 @@
         patience = attempts.patience_for_slot
         if instance is not None and blocked[name] <= patience:
             if await dependencies.rates.acquire(instance, patience):
-                load = dependencies.loads.load_of(instance).in_flight
+                load = dependencies.loads.estimate_load(instance)
                 return PlacedUpstream(instance, False, load)
             blocked[name] = dependencies.rates.time_blocked(instance)
         return Refusal(
@@ -186,7 +186,7 @@
         if instance is None or instance.leaving:
             slots.release(placed, Outcome.CANCELLED)
             return None
-        load = self._dependencies.loads.load_of(instance).in_flight
+        load = self._dependencies.loads.estimate_load(instance)
         if preferred is None:
             return PlacedUpstream(instance, True, load, slot=placed)
         if instance.name == preferred.instance.name:
--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -68,7 +68,9 @@
     """The chosen upstream.
 
     :ivar first_choice: no load or failure displaced the request
-    :ivar load: requests on the upstream, as known to this router
+    :ivar load: requests on the upstream, as estimated by this router
+    :ivar mean_load: mean of the estimates by which the load was judged;
+        ``None`` if it was not
     :ivar source: another upstream that has probably read parts of the prompt
         that the chosen one has not; ``None`` if none is known
     :ivar is_unread: the chosen one is not known to have read the subject
@@ -81,6 +83,7 @@
     source: Instance | None = None
     is_unread: bool = False
     slot: Placement | None = None
+    mean_load: float | None = None
 
 
 class AffinityPlacer:
@@ -195,20 +198,17 @@
             name: self._loads.estimate_load(instance)
             for name, instance in by_name.items()
         }
-        bound = (
-            LOAD_FACTOR * sum(loads.values()) / len(loads) + LOAD_SLACK_REQUESTS
-        )
-        for position, name in enumerate(order):
-            if loads[name] <= bound:
-                return PlacedUpstream(by_name[name], position == 0, loads[name])
+        mean = sum(loads.values()) / len(loads)
+        bound = LOAD_FACTOR * mean + LOAD_SLACK_REQUESTS
         least = min(loads, key=loads.__getitem__)
-        return PlacedUpstream(by_name[least], False, loads[least])
+        chosen = next((name for name in order if loads[name] <= bound), least)
+        return PlacedUpstream(
+            by_name[chosen], chosen == order[0], loads[chosen], mean_load=mean
+        )
 
     def _place_by_load(self, candidates: Sequence[Instance]) -> PlacedUpstream:
         chosen = min(candidates, key=self._load_order)
-        return PlacedUpstream(
-            chosen, True, self._loads.load_of(chosen).in_flight
-        )
+        return PlacedUpstream(chosen, True, self._loads.estimate_load(chosen))
 
     def _load_order(self, instance: Instance) -> tuple[float, bool, float]:
         load = self._loads.estimate_load(instance) / instance.slots
--- a/tests/routing/test_affinity.py
+++ b/tests/routing/test_affinity.py
@@ -90,6 +90,14 @@
     assert max(counts.values()) <= 2 * 100 / 5 + 3
 
 
+def test_a_placement_states_the_loads_that_decided_it() -> None:
+    bench = PlacerBench(*FIVE)
+    first = bench.place('p').instance
+    bench.loads.record_report(first, ReportedLoad(3, 1, 64))
+    placed = bench.place('p')
+    assert (placed.instance, placed.load, placed.mean_load) == (first, 4, 0.8)
+
+
 def test_a_large_fleet_spreads_a_popular_subject() -> None:
     many = tuple(instance(f'e{number:03}') for number in range(100))
     bench = PlacerBench(*many)
