Let the home of each upstream grant the requests of a large fleet

Cause: every router kept the load bound by counts up to half a second old. Requests without a shared prompt all went to the upstream with the smallest old count. The class of fault is a bound on a sum over all routers that each of them keeps alone, as for limits and slots before.

With nine routers or more each upstream has a home among them, found by rendezvous hashing; a router asks it before it sends, and reports the end. The home counts exactly and denies what is above the bound, whereupon the next upstream is asked. An unanswered home is not asked for half a second, and the router decides alone meanwhile. The mean is taken over all upstreams of the service and scaled to the routers that were not heard yet. Without a shared prompt the better of two random upstreams is asked for. Smaller fleets ask nobody and place as before.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -21,7 +21,12 @@
 from ..routing.fleet_retry_budget import FleetRetryBudget
 from ..routing.prompt_readers import SharedPromptReaders
 from ..routing.stream_origins import SharedStreamOrigins, StreamOrigin
-from ..routing.types import PlacementRequest, SharedRates, SharedSlots
+from ..routing.types import (
+    PlacementRequest,
+    SharedLoads,
+    SharedRates,
+    SharedSlots,
+)
 from ..routing.upstream_loads import ExchangeOutcome, UpstreamLoads
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
@@ -80,6 +85,7 @@
     confirm_upstreams: Callable[[], Awaitable[bool]]
     slots: SharedSlots
     rates: SharedRates
+    load_bounds: SharedLoads
     retries: FleetRetryBudget
     pool: ConnectionPool
     peers: PeerForwarder
@@ -166,6 +172,14 @@
         """Return how long the request may wait before it is sent."""
         return self._admitted.route.target_latency * SLOT_WAIT_SHARE
 
+    @property
+    def time_remaining(self) -> timedelta:
+        """Return the time until the request's deadline."""
+        remaining_s = (
+            self._admitted.deadline - self._dependencies.clock.monotonic()
+        )
+        return timedelta(seconds=max(0, remaining_s))
+
     def slot_request(
         self, unusable: frozenset[str], preferred: str
     ) -> PlacementRequest:
@@ -176,14 +190,13 @@
         """
         admitted = self._admitted
         organisation = admitted.organisation
-        remaining_s = admitted.deadline - self._dependencies.clock.monotonic()
         return PlacementRequest(
             self._request.attempt_id,
             admitted.service,
             '' if organisation is None else organisation.name,
             chat=0,
             priority=admitted.priority,
-            deadline=timedelta(seconds=max(0, remaining_s)),
+            deadline=self.time_remaining,
             excluded=unusable,
             preferred=preferred,
             patience=self.patience_for_slot,
@@ -213,7 +226,7 @@
             exchange_outcome = _EXCHANGE_OUTCOMES[result.outcome]
         except asyncio.CancelledError:
             duration_s = dependencies.clock.monotonic() - started_at
-            exchange_outcome = self._classify_abandoned(duration_s)
+            exchange_outcome = _classify_abandoned(self._exchange, duration_s)
             detail = (
                 'answer incomplete'
                 if self.relay.is_started
@@ -256,12 +269,11 @@
         self, placed: PlacedUpstream, admitted: AdmittedRequest
     ) -> RequestMetadata:
         organisation = admitted.organisation
-        remaining_s = admitted.deadline - self._dependencies.clock.monotonic()
         return RequestMetadata(
             instance_name=placed.instance.name,
             organisation='' if organisation is None else organisation.name,
             priority=admitted.priority,
-            time_remaining=timedelta(seconds=max(0, remaining_s)),
+            time_remaining=self.time_remaining,
             cache_source='' if placed.source is None else placed.source.address,
         )
 
@@ -293,12 +305,6 @@
         elif result.outcome is not AttemptOutcome.MISDIRECTED:
             self._attempt_count += 1
 
-    def _classify_abandoned(self, duration_s: float) -> ExchangeOutcome:
-        is_silent = self._exchange.answer_metadata is None and self.may_have_run
-        if is_silent and duration_s > SUSPICIOUS_SILENCE.total_seconds():
-            return ExchangeOutcome.SILENT
-        return ExchangeOutcome.ABANDONED
-
     def _log_attempt(
         self, placed: PlacedUpstream, result: AttemptResult, duration_s: float
     ) -> None:
@@ -320,6 +326,7 @@
             prompt_known=not placed.is_unread,
             cache_source='' if placed.source is None else placed.source.name,
             slot=None if placed.slot is None else placed.slot.grant,
+            granted_at=None if placed.grant is None else placed.grant.in_flight,
             configuration_age=round(
                 self._dependencies.admission.configuration_age, 3
             ),
@@ -335,6 +342,15 @@
         )
 
 
+def _classify_abandoned(
+    exchange: Exchange, duration_s: float
+) -> ExchangeOutcome:
+    is_silent = exchange.answer_metadata is None and exchange.may_have_run
+    if is_silent and duration_s > SUSPICIOUS_SILENCE.total_seconds():
+        return ExchangeOutcome.SILENT
+    return ExchangeOutcome.ABANDONED
+
+
 def _is_resumable(admitted: AdmittedRequest) -> bool:
     return admitted.route.repeatability is Repeatability.RESUMABLE
 
--- a/src/bergamotshed/forwarding/forwarder.py
+++ b/src/bergamotshed/forwarding/forwarder.py
@@ -150,7 +150,7 @@
                 request, admitted, attempts, placed
             )
         finally:
-            self._selector.release_slot(placed, result)
+            self._selector.release(placed, result)
         return result
 
     def _is_lost(self, service: str) -> bool:
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -9,11 +9,17 @@
 __all__ = ('UpstreamSelector',)
 
 import asyncio
+import math
+from collections.abc import Collection
 from dataclasses import replace
 from datetime import timedelta
 
 from ..reasons import Reason, Refusal
-from ..routing.affinity import ALL_BUSY_RETRY_AFTER, PlacedUpstream
+from ..routing.affinity import (
+    ALL_BUSY_RETRY_AFTER,
+    PlacedUpstream,
+    load_bound,
+)
 from ..routing.types import Outcome, Placement
 from .attempts import ForwardingDependencies, RequestAttempts
 from .outcome import AttemptOutcome, AttemptResult
@@ -25,6 +31,9 @@
 MIN_RATE_RETRY_AFTER = timedelta(milliseconds=100)
 #: Upstreams that are asked in turn whether their limits allow a request.
 MAX_PLACEMENTS = 12
+#: Upstreams above the load bound after which a request is sent to the next one
+#: whatever its load.
+MAX_CROWDED = 6
 NO_WAIT = timedelta(0)
 
 #: Outcomes of slots; others count as cancelled.
@@ -44,16 +53,21 @@
     async def choose(
         self, attempts: RequestAttempts
     ) -> PlacedUpstream | Refusal:
-        """Choose an upstream; call :meth:`release_slot` after the attempt."""
+        """Choose an upstream; call :meth:`release` after the attempt."""
         if not attempts.watch.admits():
             return Refusal(Reason.QUARANTINED, QUARANTINE_RETRY_AFTER)
+        crowded: set[str] = set()
         for _ in range(MAX_PLACEMENTS):
             placed = await self._choose_unblocked(attempts)
             if isinstance(placed, Refusal):
                 return await self._wait_for_rate(attempts) or placed
-            if await self._is_permitted(placed):
-                return placed
-            self.release_slot(placed, None)
+            granted = await self._keep_bound(placed, attempts, crowded)
+            if granted is None:
+                crowded.add(placed.instance.name)
+            elif await self._is_permitted(granted):
+                return granted
+            else:
+                self.release(granted, None)
         return Refusal(Reason.OVERLOADED, ALL_BUSY_RETRY_AFTER)
 
     async def _is_permitted(self, placed: PlacedUpstream) -> bool:
@@ -63,9 +77,34 @@
                 placed.instance, NO_WAIT
             )
         except asyncio.CancelledError:
-            self.release_slot(placed, None)
+            self.release(placed, None)
             raise
 
+    async def _keep_bound(
+        self,
+        placed: PlacedUpstream,
+        attempts: RequestAttempts,
+        crowded: Collection[str],
+    ) -> PlacedUpstream | None:
+        """Ask the upstream's home whether it is within the load bound.
+
+        :param crowded: names of the upstreams that were not, for this request;
+            if one of them is chosen again, no other can take it
+        :return: ``None`` if another upstream should be chosen
+        """
+        if placed.slot is not None or placed.mean_load is None:
+            return placed
+        is_last = placed.instance.name in crowded or len(crowded) >= MAX_CROWDED
+        grant = await self._dependencies.load_bounds.acquire(
+            placed.instance,
+            math.inf if is_last else load_bound(placed.mean_load),
+            attempts.time_remaining,
+        )
+        if grant is None:
+            return placed
+        self._dependencies.loads.record_grant(placed.instance, grant)
+        return replace(placed, grant=grant) if grant.is_granted else None
+
     async def _choose_unblocked(
         self, attempts: RequestAttempts
     ) -> PlacedUpstream | Refusal:
@@ -103,14 +142,16 @@
             'no slot of a brittle upstream was granted',
         )
 
-    def release_slot(
+    def release(
         self, placed: PlacedUpstream, result: AttemptResult | Refusal | None
     ) -> None:
-        """Release the slot that was reserved for an attempt, if any.
+        """Release what the homes granted for an attempt.
 
         :param result: how the attempt ended; a refusal if it was not made,
             ``None`` if it was cancelled
         """
+        if placed.grant is not None:
+            self._dependencies.load_bounds.release(placed.grant)
         if placed.slot is None:
             return
         outcome = Outcome.CANCELLED
--- a/src/bergamotshed/gateway/forwarding_parts.py
+++ b/src/bergamotshed/gateway/forwarding_parts.py
@@ -79,6 +79,7 @@
             loads,
             CacheSources(fleet.registry, loads, fleet.shared.prompts.memory),
             lambda service: _max_in_flight(fleet, service),
+            lambda: len(fleet.heartbeats.live_routers()),
             live.current.node.domain,
             rng.random,
         ),
@@ -90,6 +91,7 @@
         ),
         slots=fleet.shared.slots,
         rates=fleet.shared.rates,
+        load_bounds=fleet.shared.loads,
         retries=FleetRetryBudget(
             lambda: _retry_options(live.current),
             fleet.roster.count,
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -147,6 +147,7 @@
             self.fleet.registry.instances.values()
         )
         self.fleet.shared.slots.release_silent_routers()
+        self.fleet.shared.loads.release_silent_routers()
         instances = list(self.fleet.registry.instances.values())
         self.forwarding.loads.forget_unlisted(instances)
         listed = {instance.incarnation for instance in instances}
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -38,6 +38,7 @@
     ClaimEndConfirmed,
     ClaimRequest,
 )
+from .loadmessages import LoadAnswer, LoadRelease, LoadRequest
 from .originmessages import OriginAnswer, OriginRequest, StreamBegun
 from .partmessages import PartsAnswered
 from .promptmessages import PromptRead, ReadersAnswer, ReadersRequest
@@ -304,4 +305,7 @@
     | StreamBegun
     | OriginRequest
     | OriginAnswer
+    | LoadRequest
+    | LoadAnswer
+    | LoadRelease
 )
--- a/src/bergamotshed/routers/ratehomes.py
+++ b/src/bergamotshed/routers/ratehomes.py
@@ -21,13 +21,13 @@
 from eliot import log_message
 
 from ..clock import Clock
-from ..routing.hashing import rank, stable_hash
 from ..routing.known_limits import KnownLimits, RateLimit
 from ..routing.rate_home import RateGrant, RateHome
 from ..routing.types import SharedRates
 from ..upstreams.types import Incarnation, Instance
 from .confirmednotices import ConfirmedNotices
 from .gatewayheartbeats import GatewayHeartbeats
+from .homes import HOME_ASK_TIMEOUT, home_of_upstream
 from .mesh import PeerMesh
 from .messages import Message
 from .ratemessages import (
@@ -40,9 +40,6 @@
 from .spreadnotices import SpreadNotices
 
 MILLISECOND = timedelta(milliseconds=1)
-#: How long a home may take to answer: several times the latency between
-#: failure domains.
-ASK_TIMEOUT = timedelta(milliseconds=40)
 #: Pause before a home that did not answer is asked again.
 UNANSWERED_PAUSE = timedelta(milliseconds=200)
 #: Shortest pause before a home that refused is asked again.
@@ -144,13 +141,13 @@
         self, upstream: Incarnation, rate: float, max_wait: timedelta
     ) -> RateGrant:
         live = self._heartbeats.live_routers() or (self._node,)
-        home = rank(stable_hash(upstream[0], str(upstream[1])), live)[0]
+        home = home_of_upstream(upstream, live)
         if home == self._node:
             return self._grant(upstream, rate, max_wait)
         answer = await self._mesh.ask(
             home,
             RateRequest(*upstream, rate, max_wait // MILLISECOND),
-            ASK_TIMEOUT,
+            HOME_ASK_TIMEOUT,
         )
         if not isinstance(answer, RateAnswer):
             log_message(
--- a/src/bergamotshed/routers/sharedstate.py
+++ b/src/bergamotshed/routers/sharedstate.py
@@ -14,6 +14,7 @@
 from ..routing.cache_source import ListedUpstreams
 from .confirmednotices import ConfirmedNotices
 from .gatewayheartbeats import GatewayHeartbeats
+from .loadhomes import LoadHomes
 from .prompthomes import PromptHomes
 from .ratehomes import RateHomes
 from .slothomes import SlotHomes
@@ -27,12 +28,14 @@
     :ivar prompts: which upstreams have read a prompt
     :ivar slots: slots of services that have few
     :ivar rates: limits that upstreams name
+    :ivar loads: the load bound of upstreams
     :ivar origins: where each stream began
     """
 
     prompts: PromptHomes
     slots: SlotHomes
     rates: RateHomes
+    loads: LoadHomes
     origins: StreamOrigins
 
 
@@ -54,5 +57,6 @@
         prompts=PromptHomes(node, mesh, live, clock),
         slots=SlotHomes(node, mesh, heartbeats, listed, clock),
         rates=RateHomes(node, mesh, notices, heartbeats, clock),
+        loads=LoadHomes(node, mesh, heartbeats, clock),
         origins=StreamOrigins(node, mesh, roster.routers, live, clock),
     )
--- a/src/bergamotshed/routing/affinity.py
+++ b/src/bergamotshed/routing/affinity.py
@@ -10,7 +10,12 @@
 the excess of a popular subject to the next upstream of its order.
 """
 
-__all__ = ('AffinityPlacer', 'PlacedUpstream', 'PlacementQuery')
+__all__ = (
+    'AffinityPlacer',
+    'PlacedUpstream',
+    'PlacementQuery',
+    'load_bound',
+)
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
@@ -19,7 +24,8 @@
 from ..reasons import Reason, Refusal
 from ..upstreams.types import Instance
 from .cache_source import CacheSources, ListedUpstreams, subject_order
-from .types import Placement
+from .load_home import needs_load_homes
+from .types import LoadGrant, Placement
 from .upstream_loads import UpstreamLoads
 
 #: An upstream takes a subject's requests up to this multiple of the mean
@@ -27,6 +33,10 @@
 #: the fewest prompts read again; the platform's limit is twice the mean.
 LOAD_FACTOR = 1.9
 LOAD_SLACK_REQUESTS = 2.5
+#: Upstreams that are compared for a request without a shared prompt while many
+#: routers choose by the same old counts: all of them would choose the least
+#: loaded one of all until they hear of each other's requests.
+SAMPLE_SIZE = 2
 #: Retry delay when no listed upstream is left to try.
 NO_UPSTREAM_RETRY_AFTER = timedelta(milliseconds=500)
 #: Retry delay when all upstreams have as many requests as they accept
@@ -69,12 +79,13 @@
 
     :ivar first_choice: no load or failure displaced the request
     :ivar load: requests on the upstream, as estimated by this router
-    :ivar mean_load: mean of the estimates by which the load was judged;
-        ``None`` if it was not
+    :ivar mean_load: estimated mean of its service; ``None`` if it was not
+        compared with the mean
     :ivar source: another upstream that has probably read parts of the prompt
         that the chosen one has not; ``None`` if none is known
     :ivar is_unread: the chosen one is not known to have read the subject
     :ivar slot: reservation made by its home, for services with few slots
+    :ivar grant: grant of the upstream's home, in large fleets
     """
 
     instance: Instance
@@ -84,6 +95,7 @@
     is_unread: bool = False
     slot: Placement | None = None
     mean_load: float | None = None
+    grant: LoadGrant | None = None
 
 
 class AffinityPlacer:
@@ -92,6 +104,7 @@
     :param max_in_flight: returns the maximum number of requests that this
         router may have on one upstream of a service, which follows from
         the connections that the upstream accepts
+    :param router_count: returns the number of live routers
     :param domain: this router's failure domain; its upstreams are
         preferred among those with equal load
     """
@@ -102,9 +115,11 @@
         loads: UpstreamLoads,
         sources: CacheSources,
         max_in_flight: Callable[[str], float],
+        router_count: Callable[[], int],
         domain: str,
         random: Callable[[], float],
     ) -> None:
+        self._router_count = router_count
         self._listed = listed
         self._loads = loads
         self._sources = sources
@@ -147,19 +162,20 @@
     def _choose(
         self, query: PlacementQuery, available: Sequence[Instance]
     ) -> PlacedUpstream:
-        healthy = [
-            instance
-            for instance in available
-            if not self._loads.is_ejected(instance)
-        ]
-        usable = [
-            instance
-            for instance in healthy or available
-            if not self._loads.is_full(instance)
-        ]
-        candidates = usable or healthy or available
+        candidates = available
+        for is_unsuitable in (
+            self._loads.is_ejected,
+            self._loads.is_full,
+            self._loads.is_crowded,
+        ):
+            suitable = [
+                instance
+                for instance in candidates
+                if not is_unsuitable(instance)
+            ]
+            candidates = suitable or candidates
         if not query.shared_parts:
-            return self._place_by_load(candidates)
+            return self._place_by_load(query, candidates)
         return self.with_source(
             query, self._place_by_subject(query, candidates)
         )
@@ -194,26 +210,57 @@
                     ),
                 )
             )
-        loads = {
-            name: self._loads.estimate_load(instance)
-            for name, instance in by_name.items()
-        }
-        mean = sum(loads.values()) / len(loads)
-        bound = LOAD_FACTOR * mean + LOAD_SLACK_REQUESTS
-        least = min(loads, key=loads.__getitem__)
-        chosen = next((name for name in order if loads[name] <= bound), least)
+        mean = self._mean_load(query, candidates)
+        bound = load_bound(mean)
+        preferred = (by_name[name] for name in order)
+        estimate = self._loads.estimate_load
+        chosen = next(
+            (instance for instance in preferred if estimate(instance) <= bound),
+            None,
+        ) or min(candidates, key=estimate)
         return PlacedUpstream(
-            by_name[chosen], chosen == order[0], loads[chosen], mean_load=mean
+            chosen, chosen.name == order[0], estimate(chosen), mean_load=mean
         )
 
-    def _place_by_load(self, candidates: Sequence[Instance]) -> PlacedUpstream:
+    def _place_by_load(
+        self, query: PlacementQuery, candidates: Sequence[Instance]
+    ) -> PlacedUpstream:
+        if needs_load_homes(self._router_count()):
+            candidates = sorted(candidates, key=self._random_order)
+            candidates = candidates[:SAMPLE_SIZE]
         chosen = min(candidates, key=self._load_order)
-        return PlacedUpstream(chosen, True, self._loads.estimate_load(chosen))
+        return PlacedUpstream(
+            chosen,
+            True,
+            self._loads.estimate_load(chosen),
+            mean_load=self._mean_load(query, candidates),
+        )
+
+    def _mean_load(
+        self, query: PlacementQuery, candidates: Sequence[Instance]
+    ) -> float:
+        router_count = self._router_count()
+        if needs_load_homes(router_count):
+            members = self._listed.members(query.service)
+            return self._loads.mean_load(members, router_count)
+        loads = map(self._loads.estimate_load, candidates)
+        return sum(loads) / len(candidates)
+
+    def _random_order(self, _instance: Instance) -> float:
+        return self._random()
 
     def _load_order(self, instance: Instance) -> tuple[float, bool, float]:
         load = self._loads.estimate_load(instance) / instance.slots
         return (load, instance.domain != self._domain, self._random())
 
 
+def load_bound(mean: float) -> float:
+    """Return how many requests an upstream may have to get another one.
+
+    :param mean: mean load of the upstreams of its service
+    """
+    return LOAD_FACTOR * mean + LOAD_SLACK_REQUESTS
+
+
 def _of_version(query: PlacementQuery) -> str:
     return '' if query.version is None else f' of version {query.version!r}'
--- a/src/bergamotshed/routing/peer_loads.py
+++ b/src/bergamotshed/routing/peer_loads.py
@@ -8,7 +8,7 @@
 __all__ = ('OwnLoad', 'PeerLoads')
 
 from collections import Counter, OrderedDict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
 from ..clock import Clock
@@ -36,10 +36,21 @@
         for key, count in loads:
             self._totals[key] += count
 
+    @property
+    def heard_count(self) -> int:
+        """Return how many other routers' counts are known."""
+        self._forget_old()
+        return len(self._by_peer)
+
+    @property
+    def totals(self) -> Mapping[int, int]:
+        """Return the requests of all other routers, by the upstream's key."""
+        self._forget_old()
+        return self._totals
+
     def total(self, key: int) -> int:
         """Return the requests of all other routers on an upstream."""
-        self._forget_old()
-        return self._totals[key]
+        return self.totals.get(key, 0)
 
     def _forget_old(self) -> None:
         oldest = self._clock.monotonic() - LIFETIME.total_seconds()
--- a/src/bergamotshed/routing/types.py
+++ b/src/bergamotshed/routing/types.py
@@ -6,10 +6,12 @@
 """
 
 __all__ = (
+    'LoadGrant',
     'Outcome',
     'Placement',
     'PlacementRequest',
     'Placer',
+    'SharedLoads',
     'SharedRates',
     'SharedSlots',
     'Upstream',
@@ -102,6 +104,25 @@
     first_choice: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class LoadGrant:
+    """The answer of an upstream's home.
+
+    :ivar number: identifies the grant at the home; 0 if it was denied
+    :ivar in_flight: requests on the upstream without this one
+    :ivar home: name of the home; may be empty for this router
+    """
+
+    number: int
+    in_flight: int
+    home: str = ''
+
+    @property
+    def is_granted(self) -> bool:
+        """Return whether the request may be sent."""
+        return self.number > 0
+
+
 class Outcome(Enum):
     """How an attempt ended, as reported to the placer and to health."""
 
@@ -166,6 +187,26 @@
         """Release a slot."""
 
 
+class SharedLoads(ABC):
+    """The load bound of upstreams, which holds over all routers; override all
+    methods.
+    """
+
+    @abstractmethod
+    async def acquire(
+        self, instance: Instance, bound: float, lifetime: timedelta
+    ) -> LoadGrant | None:
+        """Ask whether an upstream has at most so many requests.
+
+        :param lifetime: time after which the grant ends if it is not released
+        :return: ``None`` if this router must decide alone
+        """
+
+    @abstractmethod
+    def release(self, grant: LoadGrant) -> None:
+        """Release a grant."""
+
+
 class SharedRates(ABC):
     """Limits on the requests a second to upstreams, which hold over all
     routers; override all methods.
--- a/tests/routing/test_affinity.py
+++ b/tests/routing/test_affinity.py
@@ -14,8 +14,15 @@
     PlacementQuery,
 )
 from bergamotshed.routing.cache_source import CacheSources
+from bergamotshed.routing.load_home import MIN_ROUTERS
 from bergamotshed.routing.prompt_readers import PromptReaders
-from bergamotshed.routing.upstream_loads import ExchangeOutcome, UpstreamLoads
+from bergamotshed.routing.types import LoadGrant
+from bergamotshed.routing.upstream_loads import (
+    CROWDED_TIME,
+    ExchangeOutcome,
+    UpstreamLoads,
+    upstream_key,
+)
 from bergamotshed.upstreams.types import Instance, ReportedLoad
 
 
@@ -48,6 +55,7 @@
 class PlacerBench:
     def __init__(self, *instances: Instance) -> None:
         self.max_in_flight = math.inf
+        self.router_count = 2
         self.clock = ManualClock()
         self.listed = FixedListing(*instances)
         self.loads = UpstreamLoads(self.clock)
@@ -57,6 +65,7 @@
             self.loads,
             CacheSources(self.listed, self.loads, self.readers),
             lambda _service: self.max_in_flight,
+            lambda: self.router_count,
             'a',
             random.Random(1).random,
         )
@@ -225,6 +234,48 @@
     assert bench.place().instance == far
 
 
+def test_many_routers_do_not_all_choose_the_least_loaded_upstream() -> None:
+    bench = PlacerBench(*FIVE)
+    bench.router_count = MIN_ROUTERS
+    for listed in FIVE[1:]:
+        bench.loads.record_start(listed)
+    chosen = Counter(bench.place().instance.name for _ in range(400))
+    assert 0.3 < chosen['e0'] / 400 < 0.5
+    bench.router_count -= 1
+    assert bench.place().instance == FIVE[0]
+
+
+def test_the_mean_of_a_large_fleet_includes_routers_not_heard_yet() -> None:
+    bench = PlacerBench(*FIVE)
+    bench.router_count = 4 * MIN_ROUTERS
+    for listed in FIVE:
+        bench.loads.record_start(listed)
+    keys = [upstream_key(listed.incarnation) for listed in FIVE]
+    for number in range(MIN_ROUTERS - 1):
+        bench.loads.peers.record(str(number), [(key, 1) for key in keys])
+    assert bench.place('p').mean_load == 4 * MIN_ROUTERS
+
+
+def test_upstreams_that_can_not_run_a_request_count_in_the_mean() -> None:
+    older = [instance(f'e{n}', version='1') for n in range(4)]
+    bench = PlacerBench(*older, instance('e4', version='2'))
+    bench.router_count = MIN_ROUTERS
+    for _ in range(10):
+        bench.loads.record_start(instance('e4', version='2'))
+    bench.loads.peers.record('r', ())
+    placed = bench.place('p', version='2')
+    assert placed.mean_load == 10 * MIN_ROUTERS / 2 / 5
+
+
+def test_a_crowded_upstream_is_avoided_for_a_moment() -> None:
+    bench = PlacerBench(*FIVE)
+    first = bench.place('p').instance
+    bench.loads.record_grant(first, LoadGrant(0, 1))
+    assert bench.place('p').instance != first
+    bench.clock.advance(CROWDED_TIME)
+    assert bench.place('p').instance == first
+
+
 @pytest.mark.parametrize('subject', ['', 'p'])
 def test_no_upstream_gets_more_requests_than_connections(subject: str) -> None:
     bench = PlacerBench(*FIVE)
--- a/tests/routing/test_load_bound.py
+++ b/tests/routing/test_load_bound.py
@@ -13,13 +13,17 @@
 import pytest
 
 from bergamotshed.clock import ManualClock
+from bergamotshed.forwarding.upstream_selection import MAX_PLACEMENTS
 from bergamotshed.routing.affinity import (
     AffinityPlacer,
     PlacedUpstream,
     PlacementQuery,
+    load_bound,
 )
 from bergamotshed.routing.cache_source import CacheSources
+from bergamotshed.routing.load_home import LoadHome, needs_load_homes
 from bergamotshed.routing.prompt_readers import PromptReaders
+from bergamotshed.routing.types import LoadGrant
 from bergamotshed.routing.upstream_loads import ExchangeOutcome, UpstreamLoads
 from bergamotshed.upstreams.types import Instance, ReportedLoad
 from tests.held_requests import HeldRequests
@@ -35,6 +39,7 @@
 #: Time between two heartbeats of a router with up to so many peers; the rate of
 #: its messages stays the same with more.
 HEARTBEAT_S = 0.5
+GRANT_LIFETIME = timedelta(seconds=10)
 PEERS_PER_HEARTBEAT = 32
 #: A few subjects have most requests: weights fall with the rank.
 SKEW = 0.6
@@ -83,25 +88,57 @@
     """Places requests by what it has sent and by the reports it received."""
 
     def __init__(
-        self, number: int, clock: ManualClock, listed: FixedListing
+        self,
+        number: int,
+        clock: ManualClock,
+        listed: FixedListing,
+        router_count: int,
+        home: LoadHome,
     ) -> None:
         self.loads = UpstreamLoads(clock)
         self.readers = PromptReaders(clock)
+        self.name = str(number)
+        self._home = home
+        self._has_home = needs_load_homes(router_count)
         self._placer = AffinityPlacer(
             listed,
             self.loads,
             CacheSources(listed, self.loads, self.readers),
             lambda _service: float('inf'),
+            lambda: router_count,
             'a',
             random.Random(SEED + number).random,
         )
 
-    def place(self, subject: str) -> Instance:
+    def place(self, subject: str) -> tuple[Instance, int]:
+        """Return the chosen upstream and the number of its home's grant."""
+        for _ in range(MAX_PLACEMENTS):
+            placed = self._choose(subject)
+            grant = self._ask_home(placed)
+            if grant.is_granted:
+                break
+        self.loads.record_start(placed.instance)
+        return placed.instance, grant.number
+
+    def _choose(self, subject: str) -> PlacedUpstream:
         shared_parts = (subject,) if subject else ()
         placed = self._placer.place(PlacementQuery('s', '', shared_parts))
         assert isinstance(placed, PlacedUpstream)
-        self.loads.record_start(placed.instance)
-        return placed.instance
+        return placed
+
+    def _ask_home(self, placed: PlacedUpstream) -> LoadGrant:
+        if not self._has_home:
+            return LoadGrant(1, 0)
+        assert placed.mean_load is not None
+        grant = self._home.grant(
+            self.name,
+            placed.instance.name,
+            load_bound(placed.mean_load),
+            GRANT_LIFETIME,
+            self.loads.counted_load(placed.instance.incarnation),
+        )
+        self.loads.record_grant(placed.instance, grant)
+        return grant
 
 
 class Play:
@@ -115,14 +152,18 @@
             *(instance(f'e{number}') for number in range(fleet.upstreams))
         )
         self.upstreams = Upstreams(HeldRequests(listed.instances))
+        home = LoadHome(self._clock)
+        self._home = home
         self._routers = [
-            Router(number, self._clock, listed)
+            Router(number, self._clock, listed, fleet.routers, home)
             for number in range(fleet.routers)
         ]
         ranks = range(fleet.subjects)
         self._subjects = [f'p{rank}' for rank in ranks] or ['']
         self._weights = [(rank + 1) ** -SKEW for rank in ranks] or [1]
-        self._events: list[tuple[float, int, str, Router, Instance | None]] = []
+        self._events: list[
+            tuple[float, int, str, Router, Instance | None, int]
+        ] = []
         self._event_numbers = itertools.count()
 
     def run(self) -> None:
@@ -146,12 +187,12 @@
     def _send(self, now_s: float) -> None:
         router = self._rng.choice(self._routers)
         (subject,) = self._rng.choices(self._subjects, self._weights)
-        chosen = router.place(subject)
+        chosen, grant = router.place(subject)
         self.upstreams.requests.accept(chosen.name, now_s)
         head_s = now_s + self.upstreams.head_delay_s(chosen.name, subject)
-        self._schedule(head_s, 'head', router, chosen)
+        self._schedule(head_s, 'head', router, chosen, grant)
         end_s = head_s + self._rng.choice(ANSWERS_S)
-        self._schedule(end_s, 'end', router, chosen)
+        self._schedule(end_s, 'end', router, chosen, grant)
 
     def _schedule(
         self,
@@ -159,13 +200,16 @@
         kind: str,
         router: Router,
         chosen: Instance | None = None,
+        grant: int = 0,
     ) -> None:
         number = next(self._event_numbers)
-        heapq.heappush(self._events, (time_s, number, kind, router, chosen))
+        heapq.heappush(
+            self._events, (time_s, number, kind, router, chosen, grant)
+        )
 
     def _handle_events(self, until_s: float) -> None:
         while self._events and self._events[0][0] <= until_s:
-            time_s, _, kind, router, chosen = heapq.heappop(self._events)
+            time_s, _, kind, router, chosen, grant = heapq.heappop(self._events)
             self._advance_to(time_s)
             if chosen is None:
                 self._send_heartbeat(router)
@@ -177,6 +221,7 @@
                 )
             else:
                 self.upstreams.requests.end(chosen.name)
+                self._home.release(router.name, grant)
                 router.loads.record_end(chosen, ExchangeOutcome.ANSWERED)
         self._advance_to(until_s)
 
--- a/tests/routing/test_slothome.py
+++ b/tests/routing/test_slothome.py
@@ -240,6 +240,7 @@
             own,
             CacheSources(listed, own, PromptReaders(clock)),
             lambda _service: 1000,
+            lambda: len(loads),
             'a',
             random.Random(number).random,
         )
