Resume a stream of unknown origin only by a list read after the request came

Cause: two ways in which a router that does not know a stream's origin believed an old list of upstreams to be complete. If the store could not be read, a list of up to two seconds counted. And a request that came while a confirming read was in progress shared it, although the answer may be as old as that read, seconds if the process stood still. The second way also applied to the reads that confirm the configuration.

A read now confirms only requests that came before it was sent, and without a confirmed list the request is refused with a time to return, since another router may reach the store.

Two cases of test_stream_resumption.py had asked for the two seconds: 'one version' now holds with a confirmed list, and the case without one is refused.

--- a/src/bergamotshed/forwarding/stream_resumption.py
+++ b/src/bergamotshed/forwarding/stream_resumption.py
@@ -27,9 +27,6 @@
 from .request_admission import OTHER_ROUTER_RETRY_AFTER, AdmittedRequest
 from .types import RoutedRequest
 
-#: Age of the list of upstreams, in seconds, up to which it has each version.
-MAX_LIST_AGE_S = 2
-
 
 class StreamResumption:
     """Looks up the version that began a stream.
@@ -81,7 +78,9 @@
             origin = await self._origins.find(request.resumed_attempt)
         if isinstance(origin, StreamOrigin):
             return origin
-        only = await self._find_only(service)
+        # Another router may know a version that is not read here yet.
+        is_confirmed = await self._confirm_list()
+        only = self._find_only(service) if is_confirmed else None
         log_message(
             'stream.origin_unknown',
             request=request.attempt_id,
@@ -91,17 +90,17 @@
             only=None if only is None else only.version,
             known_s=self._seconds_since(self._versions.known_since),
             list_age=self._seconds_since(self._versions.confirmed_at),
+            is_confirmed=is_confirmed,
         )
+        if not is_confirmed:
+            # A router that reaches the store may find it.
+            return OriginUnknown.UNANSWERED
         return only or origin
 
-    async def _find_only(self, service: str) -> StreamOrigin | None:
+    def _find_only(self, service: str) -> StreamOrigin | None:
         """Return the only version that a stream may be of, if it is known."""
         if not self._knows_former_versions:
             return None
-        # Another router may know a version that is not read here yet.
-        is_confirmed = await self._confirm_list()
-        if not is_confirmed and not self._is_list_recent:
-            return None
         versions = self._recent_versions(service)
         return StreamOrigin(service, *versions) if len(versions) == 1 else None
 
@@ -120,11 +119,6 @@
         known_s = self._clock.boottime() - self._versions.known_since
         return known_s > STREAM_LIFETIME.total_seconds()
 
-    @property
-    def _is_list_recent(self) -> bool:
-        age = self._clock.boottime() - self._versions.confirmed_at
-        return age < MAX_LIST_AGE_S
-
 
 def admitted_at_origin(
     admitted: AdmittedRequest, origin: StreamOrigin | None
--- a/src/bergamotshed/store/confirmation.py
+++ b/src/bergamotshed/store/confirmation.py
@@ -12,21 +12,29 @@
 
 
 class SharedConfirmation:
-    """Shares a confirmation that is in progress among its callers.
+    """Shares a read among the callers that came before it was sent.
+
+    A caller that comes while a read is in progress waits for the next one: the
+    answer may be as old as the read, which takes long if the process stands
+    still meanwhile.
 
     :param confirm: reads the store; returns whether all changes are known
     """
 
     def __init__(self, confirm: Callable[[], Awaitable[bool]]) -> None:
         self._confirm = confirm
-        self._pending: asyncio.Future[bool] | None = None
+        self._reading: asyncio.Future[bool] | None = None
+        self._next: asyncio.Future[bool] | None = None
 
     async def __call__(self) -> bool:
-        """Return whether all changes are known."""
-        if self._pending is None:
-            self._pending = asyncio.ensure_future(self._confirm())
-            self._pending.add_done_callback(self._clear)
-        return await asyncio.shield(self._pending)
-
-    def _clear(self, _done: 'asyncio.Future[bool]') -> None:
-        self._pending = None
+        """Return whether all changes of before the call are known."""
+        if self._next is None:
+            self._next = asyncio.ensure_future(self._read_after(self._reading))
+        return await asyncio.shield(self._next)
+
+    async def _read_after(self, reading: 'asyncio.Future[bool] | None') -> bool:
+        if reading is not None:
+            await asyncio.wait((reading,))
+        self._reading = self._next
+        self._next = None
+        return await self._confirm()
--- a/tests/forwarding/test_stream_resumption.py
+++ b/tests/forwarding/test_stream_resumption.py
@@ -120,13 +120,23 @@
 async def test_only_a_router_that_may_find_the_origin_later_is_worth_a_retry(
     unknown: OriginUnknown,
 ) -> None:
-    refused = await resume(unknown, ('v1', 'v2'))
+    refused = await resume(unknown, ('v1', 'v2'), later=('v1', 'v2'))
     assert isinstance(refused, Refusal)
     assert refused.reason is Reason.ORIGIN_UNKNOWN
     may_be_found = unknown is OriginUnknown.UNANSWERED
     assert (refused.retry_after is not None) is may_be_found
 
 
+async def test_a_router_that_can_not_read_the_list_names_a_time_to_return() -> (
+    None
+):
+    refused = await resume(
+        OriginUnknown.NOT_FOUND, ('v1',), knows_former=True, later=None
+    )
+    assert isinstance(refused, Refusal)
+    assert refused.retry_after is not None
+
+
 # name: (lists of upstreams, pause between them, whether the stream goes on)
 LISTS = {
     'one version for long': ((('v1',), ('v1',)), 2 * STREAM_LIFETIME, True),
@@ -154,15 +164,26 @@
     name: str,
 ) -> None:
     lists, pause, goes_on = LISTS[name]
-    found = await resume(OriginUnknown.NOT_FOUND, *lists, pause=pause)
+    found = await resume(
+        OriginUnknown.NOT_FOUND, *lists, pause=pause, later=lists[-1]
+    )
     assert (found == V1) is goes_on
 
 
 # name: (list of upstreams, arguments of resume, whether the stream goes on)
 UNNAMED: dict[str, tuple[tuple[str, ...], dict[str, Any], bool]] = {
-    'one version': (('v1',), {'knows_former': True}, True),
-    'two versions': (('v1', 'v2'), {'knows_former': True}, False),
-    'former versions are unknown': (('v1',), {}, False),
+    'one version': (
+        ('v1',),
+        {'knows_former': True, 'later': ('v1',)},
+        True,
+    ),
+    'two versions': (
+        ('v1', 'v2'),
+        {'knows_former': True, 'later': ('v1', 'v2')},
+        False,
+    ),
+    'former versions are unknown': (('v1',), {'later': ('v1',)}, False),
+    'a list that is not confirmed': (('v1',), {'knows_former': True}, False),
     'an old list': (
         ('v1',),
         {'knows_former': True, 'list_age': 3 * SECOND},
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -410,3 +410,28 @@
         second = await resume(router, first, begun_as)
         begun = first.body.count(b'id:')
         assert second.body == events(begun, EVENT_COUNT)
+
+
+@pytest.mark.parametrize('begun_as', ['first', None])
+async def test_a_router_cut_off_while_a_version_joined_resumes_no_stream(
+    begun_as: str | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with running_upstreams('v1', 'v1', 'v1', cutting=(2,)) as upstreams:
+        for name in ('gw-a', 'gw-b'):
+            await upstreams.start_router(name)
+        in_step, out_of_step = upstreams.members
+        await out_of_step.gateway.forwarding.confirm_upstreams()
+        out_of_step.way_to_store.cut()
+        cut_off_from_peers(out_of_step, monkeypatch)
+        upstreams.versions[2] = 'v2'
+        upstreams.list_upstream(2, born=2, sequence=1)
+        for place in (0, 1):
+            upstreams.list_upstream(place, state='draining', sequence=3)
+        registry = in_step.gateway.fleet.registry
+        await until(lambda: len(registry.members('s')) == 1)
+        response = await send_request(in_step.port, PATH, attempt='first')
+        assert response.cut
+        second = await resume(out_of_step, response, begun_as)
+        assert second.status == 503
+        assert float(second.headers['retry-after']) > 0
+        assert not upstreams.runs_at('v1')
