--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -31,6 +31,8 @@
 
 EVENT_COUNT = 7
 CUT_AFTER = 2
+#: Enough that each upstream is chosen at random at least once.
+REQUEST_COUNT = 40
 #: What can't go on is refused at once.
 AT_ONCE_S = 0.5
 PATH = '/resumed/a'
@@ -177,7 +179,7 @@
 async def test_a_router_resumes_no_stream_at_another_version() -> None:
     async with running_upstreams('v1', 'v2', 'v2', cutting=(0,)) as upstreams:
         router = await upstreams.start_router('gw-a')
-        for number in range(10):
+        for number in range(REQUEST_COUNT):
             before = len(upstreams.runs_at('v1'))
             response = await send_request(
                 router.port, PATH, attempt=f'a{number}'
@@ -200,7 +202,7 @@
         'v1', 'v2', 'v2', 'v1', cutting=(0,)
     ) as upstreams:
         router = await upstreams.start_router('gw-a')
-        for number in range(10):
+        for number in range(REQUEST_COUNT):
             response = await send_request(
                 router.port, PATH, attempt=f'a{number}'
             )
