--- a/tools/capacity/sizes.py
+++ b/tools/capacity/sizes.py
@@ -10,6 +10,11 @@
 import json
 import random
 
+from bergamotshed.routers.loadmessages import (
+    LoadAnswer,
+    LoadRelease,
+    LoadRequest,
+)
 from bergamotshed.routers.messages import (
     CrashNotice,
     GossipRecord,
@@ -99,6 +104,12 @@
     fixed = (
         ('load vector request', LoadVectorRequest('model-07', 3)),
         ('rate request', RateRequest('engine-123', UNIX_MS, 2.5, 180)),
+        (
+            'load request',
+            LoadRequest('engine-123', UNIX_MS, 12.3456789, 14_000),
+        ),
+        ('load answer', LoadAnswer(GRANT_NUMBER, 12)),
+        ('load release', LoadRelease(GRANT_NUMBER)),
         ('rate answer', RateAnswer(is_granted=True, wait=120)),
     )
     rows = (
