--- a/tests/routing/test_load_bound.py
+++ b/tests/routing/test_load_bound.py
@@ -43,6 +43,8 @@
 PEERS_PER_HEARTBEAT = 32
 #: A few subjects have most requests: weights fall with the rank.
 SKEW = 0.6
+#: One subject has almost a third of the requests.
+POPULAR_SKEW = 1.3
 
 
 @dataclass(frozen=True)
@@ -51,6 +53,7 @@
 
     :ivar subjects: number of shared prompts; without any, requests share
         nothing
+    :ivar skew: how fast the weights of subjects fall with their rank
     """
 
     routers: int
@@ -58,6 +61,7 @@
     subjects: int
     requests_per_s: float
     duration_s: float
+    skew: float = SKEW
 
 
 FLEETS = {
@@ -68,6 +72,9 @@
     '33 routers, no prompts': Fleet(33, 12, 0, 288, 5),
     '33 routers, no prompts, 30 upstreams': Fleet(33, 30, 0, 720, 5),
     '100 routers, no prompts': Fleet(100, 30, 0, 720, 5),
+    '4 routers, popular prompt': Fleet(4, 30, 300, 200, 6, POPULAR_SKEW),
+    '8 routers, popular prompt': Fleet(8, 30, 300, 200, 6, POPULAR_SKEW),
+    '33 routers, popular prompt': Fleet(33, 30, 300, 200, 6, POPULAR_SKEW),
 }
 
 
@@ -160,7 +167,7 @@
         ]
         ranks = range(fleet.subjects)
         self._subjects = [f'p{rank}' for rank in ranks] or ['']
-        self._weights = [(rank + 1) ** -SKEW for rank in ranks] or [1]
+        self._weights = [(rank + 1) ** -fleet.skew for rank in ranks] or [1]
         self._events: list[
             tuple[float, int, str, Router, Instance | None, int]
         ] = []
