Heed upstreams that state that they leave or want a pause

A statement that an upstream leaves marks its present start as leaving in the registry, so that all paths that choose an upstream leave it out, whatever the store lists; heartbeats tell the peers. A pause blocks the upstream at this router, checked right before each request; requests that wait for its end are spread, and those refused get one to one and a half times the rest of it as Retry-After.

Both are recorded at one place, which replaces two parameters of AnswerObserver, so they come in one commit.

--- a/src/bergamotshed/forwarding/answer_observer.py
+++ b/src/bergamotshed/forwarding/answer_observer.py
@@ -5,17 +5,49 @@
 Records what the beginning of an answer says of its upstream.
 """
 
-__all__ = ('AnswerObserver',)
+__all__ = ('AnswerObserver', 'StatedLimits')
 
 from ..routing.prompt_readers import SharedPromptReaders
 from ..routing.stream_origins import SharedStreamOrigins, StreamOrigin
 from ..routing.types import SharedRates, SharedSlots
 from ..routing.upstream_loads import UpstreamLoads
+from ..upstreams.registry import UpstreamRegistry
 from ..upstreams.types import Instance, ReportedLoad
 from .crash_watch import CrashWatch
 from .exchange import ExchangeObserver
 from .types import AnswerMetadata, RoutedRequest
 
+#: Source of a statement that this router has read itself.
+OWN_SOURCE = 'answer'
+
+
+class StatedLimits:
+    """Records what upstreams state of the requests that they take."""
+
+    def __init__(
+        self,
+        rates: SharedRates,
+        slots: SharedSlots,
+        registry: UpstreamRegistry,
+    ) -> None:
+        self._rates = rates
+        self._slots = slots
+        self._registry = registry
+
+    def record(
+        self, instance: Instance, metadata: AnswerMetadata, sent_at: float
+    ) -> None:
+        """Record the head of an answer.
+
+        :param sent_at: when the request was sent, in monotonic seconds
+        """
+        self._rates.record_limit(instance, metadata.max_rate, sent_at)
+        self._slots.record_tolerance(instance, metadata.tolerance)
+        if metadata.pause:
+            self._rates.record_pause(instance, metadata.pause)
+        if metadata.is_leaving:
+            self._registry.record_leaving(instance.incarnation, OWN_SOURCE)
+
 
 class AnswerObserver(ExchangeObserver):
     """Records loads, limits, prompts that were read, and first events.
@@ -32,16 +64,14 @@
         request: RoutedRequest,
         loads: UpstreamLoads,
         prompts: SharedPromptReaders,
-        rates: SharedRates,
-        slots: SharedSlots,
+        limits: StatedLimits,
         watch: CrashWatch,
         origins: SharedStreamOrigins | None,
         begun: StreamOrigin | None,
     ) -> None:
         self.origin = begun
         self._origins = origins
-        self._rates = rates
-        self._slots = slots
+        self._limits = limits
         self._sent_at = float('-inf')
         self._request = request
         self._loads = loads
@@ -59,9 +89,8 @@
     def record_limits(
         self, instance: Instance, metadata: AnswerMetadata
     ) -> None:
-        """Record the limit that the upstream names and how brittle it is."""
-        self._rates.record_limit(instance, metadata.max_rate, self._sent_at)
-        self._slots.record_tolerance(instance, metadata.tolerance)
+        """Record what the upstream states of the requests that it takes."""
+        self._limits.record(instance, metadata, self._sent_at)
 
     def record_load(self, instance: Instance, load: ReportedLoad) -> None:
         """Record the load that an upstream reported."""
--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -31,7 +31,7 @@
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
 from ..upstreams.types import Instance, ReportedLoad
-from .answer_observer import AnswerObserver
+from .answer_observer import AnswerObserver, StatedLimits
 from .crash_detector import CrashDetector
 from .crash_watch import CrashWatch
 from .dialect import Dialect
@@ -120,8 +120,9 @@
             request,
             dependencies.loads,
             dependencies.prompts,
-            dependencies.rates,
-            dependencies.slots,
+            StatedLimits(
+                dependencies.rates, dependencies.slots, dependencies.registry
+            ),
             self.watch,
             dependencies.origins if _is_resumable(admitted) else None,
             begun,
--- a/src/bergamotshed/forwarding/types.py
+++ b/src/bergamotshed/forwarding/types.py
@@ -131,6 +131,10 @@
         together for as long as it says so; ``None`` for no limit
     :ivar tolerance: rejections for want of room in a second that the upstream
         bears before it falls over; ``None`` for any number
+    :ivar is_leaving: the upstream states that it leaves and wants no new
+        requests
+    :ivar pause: how long the upstream wants no requests from this router; zero
+        if not stated
     :ivar caller_headers: headers that are passed on to the caller
     """
 
@@ -145,6 +149,8 @@
     load: ReportedLoad | None
     max_rate: float | None
     tolerance: float | None
+    is_leaving: bool
+    pause: timedelta
     caller_headers: CallerHeaders
 
 
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Collection
 from dataclasses import replace
 from datetime import timedelta
@@ -29,6 +30,8 @@
 
 #: Shortest Retry-After of a request that no upstream takes at its rate.
 MIN_RATE_RETRY_AFTER = timedelta(milliseconds=100)
+#: Its largest multiple, so that the callers don't return at the same moment.
+RETRY_AFTER_SPREAD = 1.5
 #: Upstreams that are asked in turn whether their limits allow a request.
 MAX_PLACEMENTS = 12
 #: Upstreams above the load bound after which a request is sent to the next one
@@ -185,9 +188,10 @@
                 load = dependencies.loads.estimate_load(instance)
                 return PlacedUpstream(instance, False, load)
             blocked[name] = dependencies.rates.time_blocked(instance)
+        retry_after = max(blocked[name], MIN_RATE_RETRY_AFTER)
         return Refusal(
             Reason.OVERLOADED,
-            max(blocked[name], MIN_RATE_RETRY_AFTER),
+            retry_after * random.uniform(1, RETRY_AFTER_SPREAD),
             'all upstreams are at the rate that they take',
         )
 
@@ -254,7 +258,8 @@
             if self._dependencies.loads.is_ejected(member)
         }
         unfit = {member.name for member in members if not query.allows(member)}
-        closed = query.tried | query.barred | unfit
+        leaving = set(self._dependencies.registry.names(query.service)) - names
+        closed = query.tried | query.barred | unfit | leaving
         for unusable in (closed | failing, closed):
             if names - unusable:
                 return frozenset(unusable)
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from functools import partial
 
 from aiohttp import ClientSession
 
@@ -38,6 +39,7 @@
 from ..routers.sharedstate import build_shared_state
 from ..routers.storerelay import StoreRelay
 from ..routers.suspectstore import SuspectStore
+from ..routers.withdrawnnotices import hear_withdrawn, withdrawn_keys
 from ..routes.current_table import CurrentRoutingTable
 from ..routes.table import RoutingTable
 from ..routing.upstream_loads import UpstreamLoads
@@ -181,11 +183,13 @@
             shutdown,
             lambda: prober.lost_services,
             lambda: heartbeats.loads.own,
+            lambda: withdrawn_keys(registry),
         ).build,
         routing.hear_version,
         UpstreamLoads(clock),
         clock,
     )
+    heartbeats.listeners.append(partial(hear_withdrawn, registry))
     notices = ConfirmedNotices(entry.name, heartbeats.mesh, roster, clock)
     return FleetParts(
         store=store,
--- a/src/bergamotshed/gateway/heartbeat.py
+++ b/src/bergamotshed/gateway/heartbeat.py
@@ -22,6 +22,7 @@
     :param max_age: age of the configuration from which on it does not
     :param lost_services: returns the services that it does not reach
     :param own_loads: returns its requests on upstreams
+    :param withdrawn: returns the keys of upstreams that stated that they leave
     """
 
     def __init__(
@@ -31,12 +32,14 @@
         shutdown: ShutdownWindow,
         lost_services: Callable[[], Iterable[str]],
         own_loads: Callable[[], tuple[OwnLoad, ...]],
+        withdrawn: Callable[[], tuple[int, ...]],
     ) -> None:
         self._max_age_s = max_age.total_seconds()
         self._routing = routing
         self._shutdown = shutdown
         self._lost_services = lost_services
         self._own_loads = own_loads
+        self._withdrawn = withdrawn
 
     def build(self) -> GatewayHeartbeat:
         """Return the next heartbeat."""
@@ -49,4 +52,5 @@
             self._routing.version,
             tuple(sorted(self._lost_services())),
             self._own_loads(),
+            self._withdrawn(),
         )
--- a/src/bergamotshed/gateway/inspection.py
+++ b/src/bergamotshed/gateway/inspection.py
@@ -220,6 +220,25 @@
         'Requests received from peers that reach no upstream',
         lambda: [Sample(gateway.relay.received_count)],
     )
+    meters.gauge(
+        'bergamotshed_upstreams_set_aside',
+        '1',
+        'Listed upstreams that get no requests by their own word',
+        lambda: [
+            Sample(count, {'reason': reason})
+            for reason, count in _count_set_aside(gateway).items()
+        ],
+    )
+
+
+def _count_set_aside(gateway: Gateway) -> dict[str, int]:
+    registry = gateway.fleet.registry
+    limits = gateway.fleet.shared.rates.known
+    listed = {instance.incarnation for instance in registry.instances.values()}
+    return {
+        'leaving': len(listed & registry.withdrawn),
+        'pause': sum(bool(limits.time_paused(each)) for each in listed),
+    }
 
 
 def _reach_state(gateway: Gateway) -> ReachState:
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
+from http import HTTPStatus
 
 from ..decoding import parse_amount, parse_number, parse_numbers
 from ..forwarding.dialect import Dialect, RequestMalformed
@@ -27,6 +28,8 @@
 from . import names
 
 MILLISECOND = timedelta(milliseconds=1)
+#: Longest pause that an upstream gets.
+MAX_PAUSE = timedelta(hours=1)
 BEARER = b'bearer '
 EVENT_STREAM = b'text/event-stream'
 LAST_EVENT = b'last-event-id'
@@ -55,6 +58,7 @@
 )
 _INTERNAL_ANSWER_HEADERS = frozenset(
     (
+        names.LEAVING,
         names.LOAD,
         names.REJECTION_TOLERANCE,
         names.REQUEST_RATE,
@@ -131,6 +135,8 @@
             load=_parse_load(by_name.get(names.LOAD, b'')),
             tolerance=parse_amount(by_name.get(names.REJECTION_TOLERANCE, b'')),
             max_rate=parse_amount(by_name.get(names.REQUEST_RATE, b'')),
+            is_leaving=by_name.get(names.LEAVING) == b'1',
+            pause=_parse_pause(head),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
                 for name, value in head.headers
@@ -211,6 +217,19 @@
     return parse_number(tokens.decode('latin-1')) or 0
 
 
+def _parse_pause(head: AnswerHead) -> timedelta:
+    """Return the longest pause that a 503 asks for.
+
+    What is no number of seconds, such as a date, asks for none.
+    """
+    if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return timedelta(0)
+    values = distinct_values(head.headers, names.PAUSE)
+    seconds = [parse_amount(value.encode('latin-1')) or 0 for value in values]
+    longest_s = min(max(seconds, default=0), MAX_PAUSE.total_seconds())
+    return timedelta(seconds=longest_s)
+
+
 def _parse_load(value: bytes) -> ReportedLoad | None:
     numbers = parse_numbers(value.decode('latin-1'))
     return ReportedLoad(*numbers) if len(numbers) == LOAD_FIELD_COUNT else None
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -14,12 +14,14 @@
     'FIRST_START_VARIABLE',
     'HTTP_GONE',
     'INSTANCE_EXPECTED',
+    'LEAVING',
     'LOAD',
     'MODEL',
     'NOT_EXECUTED',
     'ORGANISATION',
     'OUTPUT_HINT',
     'OWN_PREFIXES',
+    'PAUSE',
     'PRIORITY',
     'PROMPT',
     'REJECTION_TOLERANCE',
@@ -87,6 +89,10 @@
 REQUEST_RATE = b'server-limit'
 #: Rejections for want of room in a second that the upstream bears.
 REJECTION_TOLERANCE = b'server-brittle'
+#: ``1`` if the upstream leaves and wants no new requests.
+LEAVING = b'server-leaving'
+#: In a 503: seconds for which the upstream wants nothing from this router.
+PAUSE = b'retry-after'
 
 #: Prefixes of headers that only routers set, except the callers' headers
 #: above; others with these prefixes are dropped from callers' requests.
--- a/src/bergamotshed/routers/gatewayheartbeats.py
+++ b/src/bergamotshed/routers/gatewayheartbeats.py
@@ -36,6 +36,9 @@
 ASK_TIMEOUT = timedelta(milliseconds=150)
 
 
+HeartbeatListener = Callable[[str, GatewayHeartbeat], None]
+
+
 class GatewayHeartbeats:
     """Sends and receives heartbeats; run it in one task.
 
@@ -43,6 +46,7 @@
     :param own_heartbeat: returns the heartbeat of this router
     :param hear_version: receives the versions of others
     :ivar loads: the requests on upstreams, of this router and of others
+    :ivar listeners: called with the sender and each heartbeat
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         clock: Clock,
     ) -> None:
         self.loads = loads
+        self.listeners: list[HeartbeatListener] = []
         self._mesh = mesh
         self._name = name
         self._hear_version = hear_version
@@ -164,6 +169,8 @@
         self._latest_heartbeats[peer] = heartbeat
         self._hear_version(heartbeat.version)
         self.loads.peers.record(peer, heartbeat.loads)
+        for listener in self.listeners:
+            listener(peer, heartbeat)
 
     async def _ask(self, peer: str) -> None:
         answer = await self._mesh.ask(
--- a/src/bergamotshed/routers/messages.py
+++ b/src/bergamotshed/routers/messages.py
@@ -260,12 +260,14 @@
     :ivar lost_services: services whose upstreams it can't connect to
     :ivar loads: keys of upstreams and its requests there, see
         :class:`~bergamotshed.routing.upstream_loads.UpstreamLoads`
+    :ivar withdrawn: keys of upstreams that stated that they leave
     """
 
     ready: bool
     version: int
     lost_services: tuple[str, ...] = ()
     loads: tuple[tuple[int, int], ...] = ()
+    withdrawn: tuple[int, ...] = ()
 
 
 Message = (
--- a/src/bergamotshed/routers/ratehomes.py
+++ b/src/bergamotshed/routers/ratehomes.py
@@ -93,6 +93,16 @@
             limit = RateLimit(rate, self._clock.monotonic())
             self._news.schedule(upstream, limit)
 
+    def record_pause(self, instance: Instance, duration: timedelta) -> None:
+        """Record for how long an upstream wants nothing from this router."""
+        if self.known.pause(instance.incarnation, duration):
+            log_message(
+                'upstream.paused',
+                upstream=instance.name,
+                born=instance.born,
+                duration_s=duration.total_seconds(),
+            )
+
     def barred(self, instances: Iterable[Instance]) -> frozenset[str]:
         """Return the names of those to which nothing may be sent now."""
         if not self.known.has_blocks:
@@ -110,6 +120,8 @@
     async def acquire(self, instance: Instance, max_wait: timedelta) -> bool:
         """Return whether a request may be sent, after waiting for its turn."""
         upstream = instance.incarnation
+        if not await self.known.await_pause_end(upstream, max_wait):
+            return False
         rate = self.known.rate_of(upstream)
         if rate is None:
             return True
--- a/src/bergamotshed/routing/cache_source.py
+++ b/src/bergamotshed/routing/cache_source.py
@@ -12,11 +12,11 @@
 
 __all__ = ('CacheSources', 'ListedUpstreams', 'subject_order')
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from functools import lru_cache
 from typing import Protocol
 
-from ..upstreams.types import Instance
+from ..upstreams.types import Incarnation, Instance
 from .hashing import rank, stable_hash
 from .prompt_readers import PromptReaders
 from .upstream_loads import UpstreamLoads
@@ -41,6 +41,10 @@
     def names(self, service: str) -> tuple[str, ...]:
         """Return the upstream names of a service, leaving ones included."""
 
+    @property
+    def withdrawn(self) -> Collection[Incarnation]:
+        """Return the upstreams that stated themselves that they leave."""
+
 
 class CacheSources:
     """Finds an upstream that has probably read a prompt."""
@@ -72,12 +76,17 @@
             return None
         for name in self._likely_readers(shared_parts, chosen):
             source = self._listed.instances.get(name)
-            if source is None or name == chosen.name:
-                continue
-            if not self._loads.is_ejected(source):
+            if source is not None and self._is_usable(source, chosen):
                 return source
         return None
 
+    def _is_usable(self, source: Instance, chosen: Instance) -> bool:
+        return (
+            source.name != chosen.name
+            and source.incarnation not in self._listed.withdrawn
+            and not self._loads.is_ejected(source)
+        )
+
     def _likely_readers(
         self, shared_parts: Sequence[str], chosen: Instance
     ) -> Iterator[str]:
--- a/src/bergamotshed/routing/known_limits.py
+++ b/src/bergamotshed/routing/known_limits.py
@@ -8,6 +8,7 @@
 
 __all__ = ('KnownLimits', 'RateLimit')
 
+import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -38,6 +39,7 @@
         self._clock = clock
         self._limits: dict[Incarnation, RateLimit] = {}
         self._blocked_until: dict[Incarnation, float] = {}
+        self._paused_until: dict[Incarnation, float] = {}
 
     @property
     def limits(self) -> dict[Incarnation, RateLimit]:
@@ -51,7 +53,7 @@
     @property
     def has_blocks(self) -> bool:
         """Return whether any upstream may be blocked."""
-        return bool(self._blocked_until)
+        return bool(self._blocked_until or self._paused_until)
 
     def rate_of(self, upstream: Incarnation) -> float | None:
         """Return the limit of an upstream; ``None`` if it has none."""
@@ -86,23 +88,65 @@
         until = self._clock.monotonic() + duration.total_seconds()
         self._blocked_until[upstream] = until
 
+    def pause(self, upstream: Incarnation, duration: timedelta) -> bool:
+        """Send nothing to an upstream that asks for it; return whether it was
+        not paused already.
+
+        A shorter pause does not end a longer one.
+        """
+        is_new = not self.time_paused(upstream)
+        until = self._clock.monotonic() + duration.total_seconds()
+        self._paused_until[upstream] = max(
+            until, self._paused_until.get(upstream, until)
+        )
+        return is_new
+
     def time_blocked(self, upstream: Incarnation) -> timedelta:
         """Return how long nothing may be sent to an upstream."""
-        until = self._blocked_until.get(upstream)
+        return max(
+            self.time_paused(upstream),
+            self._remaining(self._blocked_until, upstream),
+        )
+
+    def time_paused(self, upstream: Incarnation) -> timedelta:
+        """Return how long an upstream still wants nothing."""
+        return self._remaining(self._paused_until, upstream)
+
+    async def await_pause_end(
+        self, upstream: Incarnation, max_wait: timedelta
+    ) -> bool:
+        """Wait until an upstream takes requests again, if it does in time.
+
+        The requests that wait for it go on at random times afterwards, until
+        the longest wait is over.
+        """
+        paused = self.time_paused(upstream)
+        if not paused:
+            return True
+        if paused > max_wait:
+            return False
+        spread = (max_wait - paused) * random.random()
+        await self._clock.sleep(paused + spread)
+        return not self.time_paused(upstream)
+
+    def forget_unlisted(self, listed: Iterable[Incarnation]) -> None:
+        """Forget the upstreams that are not listed any more."""
+        known: Collection[Incarnation] = set(listed)
+        for record in (self._limits, self._blocked_until, self._paused_until):
+            for upstream in record.keys() - known:
+                record.pop(upstream)
+
+    def _remaining(
+        self, ends: dict[Incarnation, float], upstream: Incarnation
+    ) -> timedelta:
+        until = ends.get(upstream)
         if until is None:
             return timedelta(0)
         remaining_s = until - self._clock.monotonic()
         if remaining_s <= 0:
-            self._blocked_until.pop(upstream)
+            ends.pop(upstream)
         return timedelta(seconds=max(0, remaining_s))
 
-    def forget_unlisted(self, listed: Iterable[Incarnation]) -> None:
-        """Forget the upstreams that are not listed any more."""
-        known: Collection[Incarnation] = set(listed)
-        for upstream in self._limits.keys() - known:
-            self._limits.pop(upstream)
-            self._blocked_until.pop(upstream, None)
-
     def _set(self, upstream: Incarnation, limit: RateLimit) -> None:
         self._limits[upstream] = limit
         if limit.rate is None:
--- a/src/bergamotshed/routing/types.py
+++ b/src/bergamotshed/routing/types.py
@@ -222,6 +222,10 @@
         :param sent_at: when its request was sent, in monotonic seconds
         """
 
+    @abstractmethod
+    def record_pause(self, instance: Instance, duration: timedelta) -> None:
+        """Record for how long an upstream wants nothing from this router."""
+
     @abstractmethod
     def barred(self, instances: Iterable[Instance]) -> frozenset[str]:
         """Return the names of those to which nothing may be sent now."""
--- a/src/bergamotshed/upstreams/registry.py
+++ b/src/bergamotshed/upstreams/registry.py
@@ -10,6 +10,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -17,11 +18,11 @@
 from ..store.health import RETURN_WINDOW, StoreHealth
 from ..store.types import Entry, TopicConsumer
 from .instance_checks import InstanceMalformed
-from .types import Instance
+from .types import Incarnation, Instance
 from .version_history import Release, VersionHistory
 
-#: Maximum number of removed upstreams whose last report is kept, and of names
-#: of malformed entries that are logged.
+#: Maximum number of removed upstreams whose last report is kept, of those that
+#: stated that they leave, and of names of malformed entries that are logged.
 MAX_REMEMBERED = 4096
 
 
@@ -40,6 +41,7 @@
     """Tracks the listed upstreams and which of them accept new requests.
 
     :ivar versions: the versions that the upstreams have, or had lately
+    :ivar withdrawn: the upstreams that stated themselves that they leave
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         self._removed_reports: dict[str, tuple[int, int]] = {}
         self._return_deadlines: dict[str, float] = {}
         self._misdirected_starts: dict[str, int] = {}
+        self.withdrawn: set[Incarnation] = set()
         self._malformed_names: set[str] = set()
         self._members: dict[str, tuple[Instance, ...]] = {}
         self._names: dict[str, tuple[str, ...]] = {}
@@ -77,6 +80,32 @@
         self._misdirected_starts[instance.name] = instance.born
         self._rebuild()
 
+    def record_leaving(self, upstream: Incarnation, source: str) -> None:
+        """Record that an upstream stated that it leaves.
+
+        This holds for its present start, whatever the store lists.
+
+        :param source: where it was stated, for the log
+        """
+        name, born = upstream
+        instance = self._instances.get(name)
+        if instance is None or instance.born != born:
+            return
+        if upstream in self.withdrawn:
+            return
+        if len(self.withdrawn) >= MAX_REMEMBERED:
+            self.withdrawn.pop()
+        self.withdrawn.add(upstream)
+        self._instances[name] = replace(instance, leaving=True)
+        self._rebuild()
+        log_message(
+            'upstream.withdrawn',
+            upstream=name,
+            service=instance.service,
+            born=born,
+            source=source,
+        )
+
     def replace_entries(self, entries: Sequence[Entry], sent_at: float) -> None:
         """Replace the list; upstreams that are missing in it were removed."""
         listed = {entry.key for entry in entries}
@@ -104,13 +133,16 @@
         except InstanceMalformed as error:
             self._log_malformed(entry.key, str(error))
             return
-        if self._is_outdated(instance):
+        known = self._instances.get(instance.name)
+        removed = self._removed_reports.get(instance.name)
+        if _is_outdated(instance, known, removed):
             return
         # It may be removed again by the same read.
         self.versions.record_former(
             Release(instance.service, instance.version), self._clock.boottime()
         )
-        known = self._instances.get(instance.name)
+        if instance.incarnation in self.withdrawn:
+            instance = replace(instance, leaving=True)
         if known is None or known.leaving != instance.leaving:
             log_message(
                 'upstream.listed',
@@ -126,15 +158,6 @@
         self._return_deadlines.pop(instance.name, None)
         self._removed_reports.pop(instance.name, None)
 
-    def _is_outdated(self, instance: Instance) -> bool:
-        """Return whether the report is older than one already applied."""
-        report = (instance.born, instance.sequence)
-        known = self._instances.get(instance.name)
-        if known is not None:
-            return report < (known.born, known.sequence)
-        removed = self._removed_reports.get(instance.name)
-        return removed is not None and report <= removed
-
     def _remove(self, name: str) -> None:
         known = self._instances.get(name)
         if known is None:
@@ -193,3 +216,16 @@
         self._names = {
             service: tuple(sorted(listed)) for service, listed in names.items()
         }
+
+
+def _is_outdated(
+    instance: Instance, known: Instance | None, removed: tuple[int, int] | None
+) -> bool:
+    """Return whether a report is older than one already applied.
+
+    :param removed: start and sequence of the last report before a removal
+    """
+    report = (instance.born, instance.sequence)
+    if known is not None:
+        return report < (known.born, known.sequence)
+    return removed is not None and report <= removed
--- a/tests/routing/test_affinity.py
+++ b/tests/routing/test_affinity.py
@@ -23,7 +23,7 @@
     UpstreamLoads,
     upstream_key,
 )
-from bergamotshed.upstreams.types import Instance, ReportedLoad
+from bergamotshed.upstreams.types import Incarnation, Instance, ReportedLoad
 
 
 def instance(name: str, domain: str = 'a', **fields: object) -> Instance:
@@ -34,6 +34,7 @@
 class FixedListing:
     def __init__(self, *instances: Instance) -> None:
         self.instances = {listed.name: listed for listed in instances}
+        self.withdrawn: set[Incarnation] = set()
 
     def members(self, service: str) -> tuple[Instance, ...]:
         return tuple(
@@ -198,6 +199,8 @@
     placed = bench.place('p')
     assert placed.instance != reader
     assert placed.source == leaving
+    bench.listed.withdrawn.add(reader.incarnation)
+    assert bench.place('p').source != leaving
 
 
 def test_failing_upstreams_are_avoided_while_others_can_serve() -> None:
