--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -64,7 +64,7 @@
             placed = await self._choose_unblocked(attempts)
             if isinstance(placed, Refusal):
                 return await self._wait_for_rate(attempts) or placed
-            granted = await self._keep_bound(placed, attempts, crowded)
+            granted = await self._ask_home(placed, attempts, crowded)
             if granted is None:
                 crowded.add(placed.instance.name)
             elif await self._is_permitted(granted):
@@ -83,17 +83,18 @@
             self.release(placed, None)
             raise
 
-    async def _keep_bound(
+    async def _ask_home(
         self,
         placed: PlacedUpstream,
         attempts: RequestAttempts,
         crowded: Collection[str],
     ) -> PlacedUpstream | None:
-        """Ask the upstream's home whether it is within the load bound.
+        """Ask the upstream's home for a grant, where it has one.
 
         :param crowded: names of the upstreams that were not, for this request;
             if one of them is chosen again, no other can take it
-        :return: ``None`` if another upstream should be chosen
+        :return: ``None`` if another upstream should be chosen, as this one is
+            above the load bound
         """
         if placed.slot is not None or placed.mean_load is None:
             return placed
--- a/src/bergamotshed/routing/load_home.py
+++ b/src/bergamotshed/routing/load_home.py
@@ -20,7 +20,7 @@
 from .types import LoadGrant
 
 #: Routers from which on upstreams have homes. Fewer routers hear of most
-#: requests in time, through the answers of the upstreams.
+#: requests in time, unless one prompt is very popular.
 MIN_ROUTERS = 9
 
 
