Bound what heartbeats tell of upstreams that leave; share the set-up of two tests

A heartbeat named up to 64 upstreams that stated that they leave, for as long as they are listed: 20 KB/s at the size aimed at, above the budget. It names 16 at most, a random choice of more, 5.1 KB/s.

--- a/src/bergamotshed/routers/withdrawnnotices.py
+++ b/src/bergamotshed/routers/withdrawnnotices.py
@@ -7,22 +7,25 @@
 
 __all__ = ('hear_withdrawn', 'withdrawn_keys')
 
+import random
+
 from ..routing.upstream_loads import upstream_key
 from ..upstreams.registry import UpstreamRegistry
 from .messages import GatewayHeartbeat
 
-#: Upstreams in a heartbeat; five bytes each.
-MAX_TOLD = 64
+#: Upstreams in a heartbeat; five bytes each. Of more, each heartbeat names a
+#: random choice.
+MAX_TOLD = 16
 
 
 def withdrawn_keys(registry: UpstreamRegistry) -> tuple[int, ...]:
     """Return the keys of the upstreams that the next heartbeat names."""
-    told = [
+    keys = [
         upstream_key(instance.incarnation)
         for instance in registry.instances.values()
         if instance.incarnation in registry.withdrawn
     ]
-    return tuple(told[:MAX_TOLD])
+    return tuple(random.sample(keys, min(MAX_TOLD, len(keys))))
 
 
 def hear_withdrawn(
--- a/tests/gateway/test_paused_upstreams.py
+++ b/tests/gateway/test_paused_upstreams.py
@@ -14,15 +14,11 @@
 from .members import start_member, wait_until_acquainted
 from .scripts import fine
 from .support import (
-    UPSTREAMS,
-    GatewayEnvironment,
     Script,
-    configuration,
     running_gateway,
     send_request,
-    upstream_entry,
 )
-from .test_process import gateway_process
+from .test_process import gateway_process, publish_all
 
 PAUSE_S = 2.0
 #: Stated by the users: requests from one router between half a second after the
@@ -185,11 +181,7 @@
         RawUpstream(fine).serving() as second,
         gateway_process(tmp_path, store.address) as gateway,
     ):
-        env = GatewayEnvironment(None, store, [first, second])  # type: ignore[arg-type]
-        for number, upstream in enumerate((first, second)):
-            entry = upstream_entry(upstream.address)
-            store.put(UPSTREAMS, f'i-{number}', entry)
-        store.put('keyed.op', 'config', configuration(env, 1000))
+        publish_all(store, [first, second], 1000)
         await until(gateway.is_ready)
         await send_for([gateway.ports['callers']], '/twice/a', PAUSE_S + 1)
         assert paused.late_count <= MAX_LATE_REQUESTS
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -121,12 +121,22 @@
         await gateway.kill()
 
 
+def publish_all(
+    store: KeyedStoreStandIn, upstreams: list[RawUpstream], timeout_ms: int
+) -> None:
+    """Write the entries of upstreams and a configuration to the store."""
+    env = GatewayEnvironment(None, store, upstreams)  # type: ignore[arg-type]
+    for number, upstream in enumerate(upstreams):
+        store.put(
+            'keyed.servers', f'i-{number}', upstream_entry(upstream.address)
+        )
+    store.put('keyed.op', 'config', configuration(env, timeout_ms))
+
+
 async def publish(
     store: KeyedStoreStandIn, upstream: RawUpstream, timeout_ms: int
 ) -> None:
-    env = GatewayEnvironment(None, store, [upstream])  # type: ignore[arg-type]
-    store.put('keyed.servers', 'i-0', upstream_entry(upstream.address))
-    store.put('keyed.op', 'config', configuration(env, timeout_ms))
+    publish_all(store, [upstream], timeout_ms)
 
 
 async def test_serves_explains_and_stops(tmp_path: Path) -> None:
--- a/tests/gateway/test_withdrawn_upstreams.py
+++ b/tests/gateway/test_withdrawn_upstreams.py
@@ -17,12 +17,11 @@
     UPSTREAMS,
     GatewayEnvironment,
     Script,
-    configuration,
     running_gateway,
     send_request,
     upstream_entry,
 )
-from .test_process import gateway_process
+from .test_process import gateway_process, publish_all
 from .test_streams import EVENTS, events
 
 LEAVING = 'Server-Leaving: 1'
@@ -151,11 +150,7 @@
         RawUpstream(fine).serving() as other,
         gateway_process(tmp_path, store.address) as gateway,
     ):
-        env = GatewayEnvironment(None, store, [left, other])  # type: ignore[arg-type]
-        for number, upstream in enumerate((left, other)):
-            entry = upstream_entry(upstream.address)
-            store.put(UPSTREAMS, f'i-{number}', entry)
-        store.put('keyed.op', 'config', configuration(env, 1000))
+        publish_all(store, [left, other], 1000)
         await until(gateway.is_ready)
         await send_many([gateway.ports['callers']], '/once/a', 30)
         assert len(left.requests) == 1
