--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -9,9 +9,8 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
-from http import HTTPStatus
 
-from ..decoding import parse_amount, parse_number, parse_numbers
+from ..decoding import parse_amount, parse_number
 from ..forwarding.dialect import Dialect, RequestMalformed
 from ..forwarding.types import (
     AnswerMetadata,
@@ -23,18 +22,17 @@
     distinct_values,
     headers_by_name,
     parse_keep_alive,
+    parse_load,
+    parse_pause,
 )
-from ..upstreams.types import AnswerHead, Headers, ReportedLoad
+from ..upstreams.types import AnswerHead, Headers
 from . import names
 
 MILLISECOND = timedelta(milliseconds=1)
-#: Longest pause that an upstream gets.
-MAX_PAUSE = timedelta(hours=1)
 BEARER = b'bearer '
 EVENT_STREAM = b'text/event-stream'
 LAST_EVENT = b'last-event-id'
 MAX_DEADLINE_MS = 86_400_000
-LOAD_FIELD_COUNT = 3
 
 #: Headers of a single connection, and those that the HTTP layer generates.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -132,11 +130,11 @@
             is_event_stream=content_type.startswith(EVENT_STREAM),
             delimitation=head.delimitation,
             keep_alive_s=parse_keep_alive(by_name),
-            load=_parse_load(by_name.get(names.LOAD, b'')),
+            load=parse_load(by_name.get(names.LOAD, b'')),
             tolerance=parse_amount(by_name.get(names.REJECTION_TOLERANCE, b'')),
             max_rate=parse_amount(by_name.get(names.REQUEST_RATE, b'')),
             is_leaving=by_name.get(names.LEAVING) == b'1',
-            pause=_parse_pause(head),
+            pause=parse_pause(head),
             caller_headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
                 for name, value in head.headers
@@ -215,21 +213,3 @@
 def _parse_output_tokens(value: bytes) -> int:
     tokens = value.rpartition(b',')[2].strip()
     return parse_number(tokens.decode('latin-1')) or 0
-
-
-def _parse_pause(head: AnswerHead) -> timedelta:
-    """Return the longest pause that a 503 asks for.
-
-    What is no number of seconds, such as a date, asks for none.
-    """
-    if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
-        return timedelta(0)
-    values = distinct_values(head.headers, names.PAUSE)
-    seconds = [parse_amount(value.encode('latin-1')) or 0 for value in values]
-    longest_s = min(max(seconds, default=0), MAX_PAUSE.total_seconds())
-    return timedelta(seconds=longest_s)
-
-
-def _parse_load(value: bytes) -> ReportedLoad | None:
-    numbers = parse_numbers(value.decode('latin-1'))
-    return ReportedLoad(*numbers) if len(numbers) == LOAD_FIELD_COUNT else None
--- a/src/bergamotshed/platform/names.py
+++ b/src/bergamotshed/platform/names.py
@@ -21,7 +21,6 @@
     'ORGANISATION',
     'OUTPUT_HINT',
     'OWN_PREFIXES',
-    'PAUSE',
     'PRIORITY',
     'PROMPT',
     'REJECTION_TOLERANCE',
@@ -91,8 +90,6 @@
 REJECTION_TOLERANCE = b'server-brittle'
 #: ``1`` if the upstream leaves and wants no new requests.
 LEAVING = b'server-leaving'
-#: In a 503: seconds for which the upstream wants nothing from this router.
-PAUSE = b'retry-after'
 
 #: Prefixes of headers that only routers set, except the callers' headers
 #: above; others with these prefixes are dropped from callers' requests.
--- a/src/bergamotshed/upstreams/parsing.py
+++ b/src/bergamotshed/upstreams/parsing.py
@@ -10,17 +10,23 @@
     'distinct_values',
     'headers_by_name',
     'parse_keep_alive',
+    'parse_load',
+    'parse_pause',
 )
 
 from collections import deque
 from collections.abc import Mapping
+from datetime import timedelta
+from http import HTTPStatus
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from ..decoding import parse_amount, parse_numbers
 from .types import (
     AnswerHead,
     Delimitation,
     Headers,
+    ReportedLoad,
     UpstreamAnswerBroken,
 )
 
@@ -33,6 +39,10 @@
 #: answers were joined.
 STATUS_LINE_START = b'HTTP/1.'
 
+#: Longest pause that an upstream gets.
+MAX_PAUSE = timedelta(hours=1)
+LOAD_FIELD_COUNT = 3
+
 _BODILESS = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 
@@ -177,6 +187,28 @@
     return None
 
 
+def parse_pause(head: AnswerHead) -> timedelta:
+    """Return for how long a 503 asks for no further requests.
+
+    The longest of several ``Retry-After`` headers counts. What is no number of
+    seconds, such as a date, asks for no pause.
+    """
+    if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return timedelta(0)
+    values = distinct_values(head.headers, b'retry-after')
+    seconds = [parse_amount(value.encode('latin-1')) or 0 for value in values]
+    longest_s = min(max(seconds, default=0), MAX_PAUSE.total_seconds())
+    return timedelta(seconds=longest_s)
+
+
+def parse_load(value: bytes) -> ReportedLoad | None:
+    """Return a load of running requests, waiting ones and slots, separated by
+    commas; ``None`` if it is malformed.
+    """
+    numbers = parse_numbers(value.decode('latin-1'))
+    return ReportedLoad(*numbers) if len(numbers) == LOAD_FIELD_COUNT else None
+
+
 def _find_delimitation(status: int, headers: Headers) -> Delimitation:
     if status in _BODILESS:
         return Delimitation.NO_BODY
