--- a/tests/gateway/test_withdrawn_upstreams.py
+++ b/tests/gateway/test_withdrawn_upstreams.py
@@ -76,10 +76,8 @@
     script, path = SCRIPTS[name]
     async with running_gateway(script, script, fine) as env:
         await send_many([env.port], path, 20)
-        assert [len(upstream.requests) for upstream in env.upstreams][:2] <= [
-            1,
-            1,
-        ]
+        for leaving in env.upstreams[:2]:
+            assert len(leaving.requests) <= 1
         assert len(env.upstreams[2].requests) >= 18
 
 
