Count the grace period from the earliest time of the signal

Each router was paused when SIGTERM was sent.

Cause: ShutdownWindow counted the grace period from when the process handled the signal, 3.3 s after it was sent; SIGKILL comes 8 s after it was sent. A process can't ask when a signal was sent, but its event loop knows when it last had none to handle. It records that every 50 ms; a new request is accepted only if it ends in time for a signal that was sent right after the check before the last. Requests in flight and connections are kept as long as before, since the signal may also have come at the end of the pause.

The test of processes reads their output to its end, as pipes left open raised errors when they were collected.

--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -148,6 +148,7 @@
                 is_first_start=settings.node.first_start,
             ).run,
             live.run,
+            shutdown.run,
         ],
     )
     register_inspection(gateway)
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -11,7 +11,9 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 import aiomisc
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector
@@ -66,7 +68,8 @@
     )
     stop_requested = asyncio.Event()
     live = LiveSettings(settings, path, clock)
-    _handle_signals(stop_requested, live)
+    _handle_stop(stop_requested.set)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, live.reload)
     connector = TCPConnector(
         limit=0, ttl_dns_cache=0, socket_factory=keepalive_socket
     )
@@ -76,6 +79,7 @@
         cookie_jar=DummyCookieJar(),
     ) as session:
         gateway = build_gateway(live, session, clock, journal)
+        _handle_stop(partial(_request_stop, gateway, stop_requested))
         await _start(gateway, stream, listeners)
         await stop_requested.wait()
         await _drain(gateway)
@@ -83,11 +87,15 @@
     stream.flush()
 
 
-def _handle_signals(stop_requested: asyncio.Event, live: LiveSettings) -> None:
+def _handle_stop(handler: Callable[[], None]) -> None:
     loop = asyncio.get_running_loop()
     for signal_number in STOP_SIGNALS:
-        loop.add_signal_handler(signal_number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, live.reload)
+        loop.add_signal_handler(signal_number, handler)
+
+
+def _request_stop(gateway: Gateway, stop_requested: asyncio.Event) -> None:
+    gateway.shutdown.begin()
+    stop_requested.set()
 
 
 async def _start(
@@ -128,7 +136,13 @@
     gateway.shutdown.begin()
     gateway.edge.drain()
     gateway.announcer.leave()
-    log_message('gateway.leaving', in_flight=gateway.in_flight)
+    log_message(
+        'gateway.leaving',
+        in_flight=gateway.in_flight,
+        signal_age_at_most=round(
+            gateway.shutdown.max_elapsed.total_seconds(), 3
+        ),
+    )
     min_drain = timedelta(
         seconds=gateway.settings.directory.lifetime_s * MIN_DRAIN_LIFETIMES
     )
--- a/src/bergamotshed/process/shutdown.py
+++ b/src/bergamotshed/process/shutdown.py
@@ -21,6 +21,8 @@
 #: that is reserved for the exit of the process.
 FINISH_SHARE = 0.92
 EXIT_TIME = timedelta(milliseconds=500)
+#: Time between two checks that no signal is waiting to be handled.
+CHECK_INTERVAL = timedelta(milliseconds=50)
 
 
 class ShutdownWindow:
@@ -29,6 +31,10 @@
     At first it accepts all. Later it accepts a request only if its longest
     run ends before the process does; any other could be cut off.
 
+    A process that was paused handles a signal long after it was sent, while
+    the grace period counts from its sending. New requests are accepted as if
+    it had been sent right after the last time at which none was waiting.
+
     :param grace: returns the time from the signal until the process is
         killed, which a reload may change
     """
@@ -36,37 +42,79 @@
     def __init__(self, grace: Callable[[], timedelta], clock: Clock) -> None:
         self._grace = grace
         self._clock = clock
-        self._signalled_at: float | None = None
+        self._handled_at: float | None = None
+        now = clock.boottime()
+        self._last_checks = (now, now)
 
     @property
     def is_stopping(self) -> bool:
         """Return whether the signal was received."""
-        return self._signalled_at is not None
+        return self._handled_at is not None
 
     @property
     def elapsed(self) -> timedelta:
-        """Return the time since the signal; zero before it."""
-        if self._signalled_at is None:
+        """Return the time since the signal was handled; zero before it."""
+        return self._since(self._handled_at)
+
+    @property
+    def max_elapsed(self) -> timedelta:
+        """Return the longest time for which the signal may have been sent;
+        zero before it is handled.
+        """
+        if self._handled_at is None:
             return timedelta(0)
-        return timedelta(seconds=self._clock.boottime() - self._signalled_at)
+        return self._since(self._last_checks[0])
 
     @property
     def remaining(self) -> timedelta:
-        """Return the time in which requests in flight may finish."""
-        grace = self._grace()
-        return min(grace * FINISH_SHARE, grace - EXIT_TIME) - self.elapsed
+        """Return the time in which requests in flight may finish, if the
+        signal was handled at once.
+        """
+        return self._finish_time - self.elapsed
 
     def begin(self) -> None:
         """Record the signal; later ones have no effect."""
-        if self._signalled_at is None:
-            self._signalled_at = self._clock.boottime()
+        if self._handled_at is None:
+            self._handled_at = self._clock.boottime()
+
+    def record_check(self) -> None:
+        """Record that the event loop runs and no signal was handled yet.
+
+        A signal that was sent before a check is handled before the next one.
+        """
+        if self._handled_at is None:
+            self._last_checks = (self._last_checks[1], self._clock.boottime())
+
+    async def run(self) -> None:
+        """Check periodically until cancelled."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL)
+            self.record_check()
 
     def can_accept(self, max_duration: timedelta) -> bool:
         """Return whether a new request is accepted.
 
         :param max_duration: the longest time that it may take
         """
-        if self._signalled_at is None:
+        if self._handled_at is None:
             return True
         accept_all_time = min(ACCEPT_ALL_TIME, self._grace() * ACCEPT_ALL_SHARE)
-        return self.elapsed < accept_all_time or max_duration < self.remaining
+        return (
+            self.max_elapsed < accept_all_time
+            or max_duration < self._min_remaining
+        )
+
+    @property
+    def _finish_time(self) -> timedelta:
+        """Return the time from the signal in which requests may finish."""
+        grace = self._grace()
+        return min(grace * FINISH_SHARE, grace - EXIT_TIME)
+
+    @property
+    def _min_remaining(self) -> timedelta:
+        return self._finish_time - self.max_elapsed
+
+    def _since(self, boottime: float | None) -> timedelta:
+        if boottime is None:
+            return timedelta(0)
+        return timedelta(seconds=self._clock.boottime() - boottime)
--- /dev/null
+++ b/tests/gateway/test_planned_stop.py
@@ -0,0 +1,159 @@
+"""Requests around a planned stop, which ends with SIGKILL after the grace
+period; the gateway runs in a separate process.
+"""
+
+import asyncio
+import signal
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+from tests.standins.keyedstore import KeyedStoreStandIn
+from tests.standins.rawupstream import RawRequest, RawUpstream, sealed_answer
+from tests.waiting import until
+
+from .support import RawResponse, send_request
+from .test_process import GatewayProcess, gateway_process, publish
+
+pytestmark = pytest.mark.processes
+
+GRACE_S = 2.0
+#: Part of the grace period in which any request is accepted.
+ACCEPT_ALL_S = GRACE_S * 3 / 8
+#: Timeout of the route of most tests, and how long upstreams work.
+TIMEOUT_MS = 400
+WORK_S = 0.35
+INTERVAL_S = 0.01
+#: Stated by the users: time after which a request must not be cut that no
+#: upstream got.
+LOSS_SLACK_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request and what its caller got.
+
+    :ivar after_s: seconds from the signal until it was sent
+    :ivar took_s: seconds until the answer or the end of the connection
+    """
+
+    attempt: str
+    after_s: float
+    took_s: float
+    response: RawResponse
+
+
+@dataclass(slots=True)
+class Stop:
+    """A gateway that is stopped while requests come.
+
+    :ivar signalled_at: when SIGTERM was sent, in monotonic seconds
+    """
+
+    gateway: GatewayProcess
+    upstream: RawUpstream
+    signalled_at: float = 0
+    sent: list[Sent] = field(default_factory=list)
+
+    @property
+    def lost(self) -> list[Sent]:
+        """Return the requests that were cut though an upstream got them or
+        the router had time to refuse them.
+        """
+        passed_on = {request.attempt for request in self.upstream.requests}
+        return [
+            each
+            for each in self.sent
+            if each.response.cut
+            and (each.attempt in passed_on or each.took_s > LOSS_SLACK_S)
+        ]
+
+    def since_signal(self) -> float:
+        return time.monotonic() - self.signalled_at
+
+    def terminate(self) -> None:
+        self.gateway.running.send_signal(signal.SIGTERM)
+        self.signalled_at = time.monotonic()
+
+    async def send(self, path: str, deadline_ms: int) -> None:
+        """Send a request; one that is not accepted any more is left out."""
+        after_s = self.since_signal()
+        attempt = f'a{after_s:.6f}'
+        try:
+            response = await send_request(
+                self.gateway.ports['callers'],
+                path,
+                attempt=attempt,
+                headers={'Bergamotshed-Deadline-Ms': str(deadline_ms)},
+            )
+        except OSError:
+            return
+        took_s = self.since_signal() - after_s
+        self.sent.append(Sent(attempt, after_s, took_s, response))
+
+    async def send_until_killed(self, path: str, *deadlines_ms: int) -> None:
+        """Send requests until the grace period is over, then kill."""
+        tasks = []
+        while (left_s := GRACE_S - self.since_signal()) > 0:
+            for deadline_ms in deadlines_ms:
+                task = asyncio.create_task(self.send(path, deadline_ms))
+                tasks.append(task)
+            await asyncio.sleep(min(INTERVAL_S, left_s))
+        await self.gateway.kill()
+        await asyncio.gather(*tasks)
+
+
+async def works(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(WORK_S)
+    writer.write(sealed_answer(request))
+
+
+@asynccontextmanager
+async def serving_gateway(
+    tmp_path: Path, script: object = works, timeout_ms: int = TIMEOUT_MS
+) -> AsyncIterator[Stop]:
+    async with (
+        KeyedStoreStandIn().serving() as store,
+        RawUpstream(script).serving() as upstream,  # type: ignore[arg-type]
+        gateway_process(tmp_path, store.address, GRACE_S) as gateway,
+    ):
+        await publish(store, upstream, timeout_ms)
+        await until(gateway.is_ready)
+        yield Stop(gateway, upstream)
+
+
+@pytest.mark.parametrize('paused_s', [0.3, 0.9, 1.4])
+async def test_a_router_that_was_paused_at_the_signal_cuts_no_request(
+    paused_s: float, tmp_path: Path
+) -> None:
+    # The grace period was counted from the end of the pause.
+    async with serving_gateway(tmp_path) as stop:
+        await send_request(stop.gateway.ports['callers'], '/once/a')
+        stop.gateway.running.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.1)
+        stop.terminate()
+        await asyncio.sleep(paused_s)
+        stop.gateway.running.send_signal(signal.SIGCONT)
+        await stop.send_until_killed('/once/a', TIMEOUT_MS)
+        assert stop.sent
+        assert not stop.lost
+
+
+async def test_a_router_that_was_paused_before_the_signal_still_serves(
+    tmp_path: Path,
+) -> None:
+    async with serving_gateway(tmp_path) as stop:
+        await send_request(stop.gateway.ports['callers'], '/once/a')
+        stop.gateway.running.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(GRACE_S)
+        stop.gateway.running.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.5)
+        stop.terminate()
+        await stop.send_until_killed('/once/a', TIMEOUT_MS)
+        early = [each for each in stop.sent if each.after_s < ACCEPT_ALL_S / 2]
+        assert {each.response.status for each in early} == {200}
+        assert not stop.lost
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -92,7 +92,8 @@
     async def kill(self) -> None:
         if self.running.returncode is None:
             self.running.kill()
-        await self.running.wait()
+        # Also closes the pipes.
+        await self.running.communicate()
 
     async def get(self, name: str, path: str) -> tuple[int, str]:
         url = f'http://127.0.0.1:{self.ports[name]}{path}'
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -30,3 +30,30 @@
     clock.advance(seconds(elapsed))
     window.begin()
     assert window.can_accept(seconds(max_duration)) is is_accepted
+
+
+@pytest.mark.parametrize(
+    ('paused', 'max_duration', 'is_accepted'),
+    [
+        pytest.param(0, 12, True, id='no pause'),
+        pytest.param(3.5, 12, False, id='callers had time to leave'),
+        pytest.param(3.5, 3, True, id='ends before the process'),
+        pytest.param(3.5, 4.5, False, id='would not finish'),
+        pytest.param(7.5, 0.1, False, id='too late'),
+    ],
+)
+def test_a_process_that_was_paused_at_the_signal_accepts_less(
+    paused: float, max_duration: float, is_accepted: bool
+) -> None:
+    clock = ManualClock()
+    window = ShutdownWindow(lambda: seconds(8), clock)
+    for _ in range(3):
+        clock.advance(seconds(0.05))
+        window.record_check()
+    clock.advance(seconds(paused))
+    # The check that is due at the end of the pause may come before the signal.
+    window.record_check()
+    window.begin()
+    assert window.can_accept(seconds(max_duration)) is is_accepted
+    assert window.elapsed == seconds(0)
+    assert window.max_elapsed == seconds(paused)
