Answer the requests that are left at the end of a planned stop

Operators reported requests that came late in the grace period of a planned stop, were passed on, and were cut with no answer at its end. Here a request that came after three eighths of the period was taken only if it ends in time. One that came earlier, or before the signal, was cut if its upstream was still at work or if it waited for one.

Cause: at the end the callers' connections were closed, which cancels the requests. Now a request that is accepted during the stop has no deadline beyond the time in which it may finish, and all that are left then get 503 if they have not run and 504 if they may have. RequestTimeouts holds the time limits of all requests. ForwardingDependencies moves to a module of its own, as attempts.py would have imported too much.

--- a/src/bergamotshed/forwarding/attempts.py
+++ b/src/bergamotshed/forwarding/attempts.py
@@ -6,39 +6,27 @@
 whether a failed attempt is retried.
 """
 
-__all__ = ('ForwardingDependencies', 'RequestAttempts')
+__all__ = ('RequestAttempts',)
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
 from eliot import log_message
 
-from ..clock import Clock
 from ..routes.types import Repeatability
-from ..routing.affinity import AffinityPlacer, PlacedUpstream, PlacementQuery
-from ..routing.fleet_retry_budget import FleetRetryBudget
-from ..routing.prompt_readers import SharedPromptReaders
-from ..routing.stream_origins import SharedStreamOrigins, StreamOrigin
+from ..routing.affinity import PlacedUpstream, PlacementQuery
+from ..routing.stream_origins import StreamOrigin
 from ..routing.types import (
     PlacementRequest,
-    SharedLoads,
-    SharedRates,
-    SharedSlots,
 )
-from ..routing.upstream_loads import ExchangeOutcome, UpstreamLoads
-from ..upstreams.pool import ConnectionPool
-from ..upstreams.registry import UpstreamRegistry
+from ..routing.upstream_loads import ExchangeOutcome
 from ..upstreams.types import Instance, ReportedLoad
 from .answer_observer import AnswerObserver, StatedLimits
-from .crash_detector import CrashDetector
 from .crash_watch import CrashWatch
-from .dialect import Dialect
+from .dependencies import ForwardingDependencies
 from .exchange import Exchange
 from .outcome import AttemptOutcome, AttemptResult, can_retry
-from .peer_forwarder import PeerForwarder
-from .request_admission import AdmittedRequest, RequestAdmission
+from .request_admission import AdmittedRequest
 from .types import AnswerSink, RequestMetadata, RoutedRequest, UpstreamAnswer
 
 #: Timeout for an answer's head, as a multiple of the target latency and with
@@ -67,32 +55,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardingDependencies:
-    """What the attempts of all requests use.
-
-    :ivar confirm_upstreams: reads the list of upstreams at once; returns
-        whether all changes are known
-    """
-
-    admission: RequestAdmission
-    crashes: CrashDetector
-    registry: UpstreamRegistry
-    placer: AffinityPlacer
-    loads: UpstreamLoads
-    prompts: SharedPromptReaders
-    origins: SharedStreamOrigins
-    confirm_upstreams: Callable[[], Awaitable[bool]]
-    slots: SharedSlots
-    rates: SharedRates
-    load_bounds: SharedLoads
-    retries: FleetRetryBudget
-    pool: ConnectionPool
-    peers: PeerForwarder
-    dialect: Dialect
-    clock: Clock
-
-
 class RequestAttempts:
     """Makes the attempts of one request and records their results.
 
--- a/src/bergamotshed/forwarding/forwarder.py
+++ b/src/bergamotshed/forwarding/forwarder.py
@@ -7,16 +7,17 @@
 
 __all__ = ('Forwarder', 'ForwardingResult')
 
-import asyncio
 import random
 from dataclasses import replace
 from datetime import timedelta
 
 from ..reasons import Reason, Refusal
 from ..routing.affinity import PlacedUpstream
-from .attempts import ForwardingDependencies, RequestAttempts
+from ..routing.stream_origins import StreamOrigin
+from .attempts import RequestAttempts
+from .dependencies import ForwardingDependencies
 from .outcome import AttemptOutcome, AttemptResult
-from .request_admission import AdmittedRequest
+from .request_admission import OTHER_ROUTER_RETRY_AFTER, AdmittedRequest
 from .stream_resumption import StreamResumption, admitted_at_origin
 from .types import (
     AnswerSink,
@@ -67,7 +68,7 @@
 
         :param sink: receives an answer that is passed on in pieces
         """
-        admitted = await self._dependencies.admission.admit_confirmed(request)
+        admitted = await self._admit(request)
         if isinstance(admitted, Refusal):
             return admitted
         result = await self._run_here(request, admitted, sink)
@@ -84,12 +85,20 @@
 
         It is not passed on to a further router.
         """
-        admitted = await self._dependencies.admission.admit_confirmed(request)
+        admitted = await self._admit(request)
         if isinstance(admitted, Refusal):
             return admitted
         result = await self._run_here(request, admitted, sink)
         return result or _lost_refusal(admitted)
 
+    async def _admit(self, request: RoutedRequest) -> AdmittedRequest | Refusal:
+        admission = self._dependencies.admission
+        try:
+            async with self._dependencies.timeouts.limit(None):
+                return await admission.admit_confirmed(request)
+        except TimeoutError:
+            return _stopping_refusal()
+
     async def _run_here(
         self,
         request: RoutedRequest,
@@ -102,7 +111,7 @@
         """
         if self._is_lost(admitted.service):
             return None
-        origin = await self._resumption.find_origin(request, admitted)
+        origin = await self._find_origin(request, admitted)
         if isinstance(origin, Refusal):
             return origin
         admitted = admitted_at_origin(admitted, origin)
@@ -112,10 +121,21 @@
         )
         remaining_s = admitted.deadline - self._dependencies.clock.monotonic()
         try:
-            async with asyncio.timeout(remaining_s):
+            async with self._dependencies.timeouts.limit(remaining_s):
                 return await self._try_upstreams(request, admitted, attempts)
         except TimeoutError:
-            return _timeout_result(attempts)
+            return _timeout_result(
+                attempts, is_stopping=self._dependencies.timeouts.have_expired
+            )
+
+    async def _find_origin(
+        self, request: RoutedRequest, admitted: AdmittedRequest
+    ) -> StreamOrigin | Refusal | None:
+        try:
+            async with self._dependencies.timeouts.limit(None):
+                return await self._resumption.find_origin(request, admitted)
+        except TimeoutError:
+            return _stopping_refusal()
 
     async def _try_upstreams(
         self,
@@ -211,14 +231,30 @@
     )
 
 
-def _timeout_result(attempts: RequestAttempts) -> ForwardingResult:
+def _stopping_refusal() -> Refusal:
+    return Refusal(
+        Reason.STOPPING, OTHER_ROUTER_RETRY_AFTER, 'the router stops'
+    )
+
+
+def _timeout_result(
+    attempts: RequestAttempts, *, is_stopping: bool
+) -> ForwardingResult:
+    """Return the result of a request whose time is over.
+
+    :param is_stopping: because the router stops
+    """
     if attempts.relay.is_started:
         attempts.relay.abort()
         return StreamedAnswer(is_complete=False)
     if attempts.may_have_run:
         return UnknownOutcome(
-            Reason.ENGINE_SILENT, 'no answer in time', has_timed_out=True
+            Reason.STOPPING if is_stopping else Reason.ENGINE_SILENT,
+            'no answer in time',
+            has_timed_out=True,
         )
+    if is_stopping:
+        return _stopping_refusal()
     retry_after = _jittered(FULL_RETRY_AFTER)
     return Refusal(Reason.DEADLINE, retry_after, 'nothing was sent in time')
 
--- a/src/bergamotshed/forwarding/request_admission.py
+++ b/src/bergamotshed/forwarding/request_admission.py
@@ -138,11 +138,12 @@
             time_allowed = min(time_allowed, request.time_allowed)
         if not self._shutdown.can_accept(time_allowed):
             return Refusal(Reason.STOPPING, self._retry_after)
+        deadline = request.arrived_at + time_allowed.total_seconds()
         return AdmittedRequest(
             route,
             organisation,
             self._choose_service(route),
-            request.arrived_at + time_allowed.total_seconds(),
+            min(deadline, self._shutdown.finish_by),
         )
 
     def find_organisation(
--- a/src/bergamotshed/forwarding/upstream_selection.py
+++ b/src/bergamotshed/forwarding/upstream_selection.py
@@ -22,7 +22,8 @@
     load_bound,
 )
 from ..routing.types import Outcome, Placement
-from .attempts import ForwardingDependencies, RequestAttempts
+from .attempts import RequestAttempts
+from .dependencies import ForwardingDependencies
 from .outcome import AttemptOutcome, AttemptResult
 
 #: Retry-After of a quarantined request.
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -17,7 +17,7 @@
 from ..clock import Clock
 from ..edge.info_server import EntryAddressesPage, HealthPage, InfoServer
 from ..edge.server import EdgeOptions, EdgeServer
-from ..forwarding.attempts import ForwardingDependencies
+from ..forwarding.dependencies import ForwardingDependencies
 from ..forwarding.forwarder import Forwarder
 from ..operators.server import OperatorsServer
 from ..platform.configuration import PlatformRoutingDataDecoder
--- a/src/bergamotshed/gateway/forwarding_parts.py
+++ b/src/bergamotshed/gateway/forwarding_parts.py
@@ -14,9 +14,10 @@
 from aiohttp import ClientSession
 
 from ..clock import Clock
-from ..forwarding.attempts import ForwardingDependencies
 from ..forwarding.crash_detector import CrashDetector
+from ..forwarding.dependencies import ForwardingDependencies
 from ..forwarding.request_admission import AdmissionOptions, RequestAdmission
+from ..forwarding.request_timeouts import RequestTimeouts
 from ..platform.headers import PlatformDialect
 from ..process.shutdown import ShutdownWindow
 from ..roster.types import RosterEntry
@@ -61,6 +62,7 @@
     """
     rng = random.Random()
     loads = fleet.heartbeats.loads
+    timeouts = RequestTimeouts()
     return ForwardingDependencies(
         admission=RequestAdmission(
             lambda: admission_options(live.current),
@@ -99,8 +101,12 @@
         ),
         pool=fleet.prober.pool,
         peers=RequestRelay(
-            session, lambda service: _reaching_peers(fleet, service), clock
+            session,
+            lambda service: _reaching_peers(fleet, service),
+            timeouts,
+            clock,
         ),
+        timeouts=timeouts,
         dialect=PlatformDialect(),
         clock=clock,
     )
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -38,6 +38,10 @@
 #: list for three lifetimes.
 MIN_DRAIN_LIFETIMES = 3
 POLL_INTERVAL = timedelta(milliseconds=50)
+#: How often, and how many times, it is checked whether the requests that were
+#: ended are answered.
+END_POLL_INTERVAL = timedelta(milliseconds=10)
+END_POLLS = 20
 #: How long callers that connect during startup wait for the store's first
 #: answers before requests are handled without them; tens of times the usual
 #: response time of the store.
@@ -150,6 +154,19 @@
         if gateway.shutdown.elapsed >= min_drain and not gateway.in_flight:
             break
         await gateway.clock.sleep(POLL_INTERVAL)
+    await _end_requests(gateway)
+
+
+async def _end_requests(gateway: Gateway) -> None:
+    """End the requests that are still in flight, each with an answer."""
+    if not gateway.in_flight:
+        return
+    log_message('gateway.requests_ended', in_flight=gateway.in_flight)
+    gateway.forwarding.timeouts.expire_all()
+    for _ in range(END_POLLS):
+        await gateway.clock.sleep(END_POLL_INTERVAL)
+        if not gateway.in_flight:
+            break
 
 
 async def _stop_servers(gateway: Gateway) -> None:
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -13,7 +13,7 @@
 from ..clock import Clock
 from ..edge.info_server import InfoServer
 from ..edge.server import EdgeServer
-from ..forwarding.attempts import ForwardingDependencies
+from ..forwarding.dependencies import ForwardingDependencies
 from ..operators.server import OperatorsServer
 from ..process.metrics import Meters
 from ..process.requests import RequestMetrics
--- a/src/bergamotshed/process/shutdown.py
+++ b/src/bergamotshed/process/shutdown.py
@@ -7,6 +7,7 @@
 
 __all__ = ('ShutdownWindow',)
 
+import math
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -72,6 +73,15 @@
         """
         return self._finish_time - self.elapsed
 
+    @property
+    def finish_by(self) -> float:
+        """Return when requests that are accepted now must have ended, in
+        monotonic seconds; infinity before the signal.
+        """
+        if self._handled_at is None:
+            return math.inf
+        return self._clock.monotonic() + self._min_remaining.total_seconds()
+
     def begin(self) -> None:
         """Record the signal; later ones have no effect."""
         if self._handled_at is None:
--- a/src/bergamotshed/routers/requestrelay.py
+++ b/src/bergamotshed/routers/requestrelay.py
@@ -7,7 +7,6 @@
 
 __all__ = ('RequestRelay',)
 
-import asyncio
 import random
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import replace
@@ -26,6 +25,7 @@
 
 from ..clock import Clock
 from ..forwarding.peer_forwarder import PeerForwarder
+from ..forwarding.request_timeouts import RequestTimeouts
 from ..forwarding.types import (
     AnswerSink,
     CallerHeaders,
@@ -106,10 +106,12 @@
         self,
         session: ClientSession,
         peers: Callable[[str], Sequence[RosterEntry]],
+        timeouts: RequestTimeouts,
         clock: Clock,
     ) -> None:
         self._session = session
         self._peers = peers
+        self._timeouts = timeouts
         self._clock = clock
 
     async def forward(
@@ -149,7 +151,7 @@
         started = StartedSink(sink)
         time_allowed = request.time_allowed or timedelta(0)
         try:
-            async with asyncio.timeout(time_allowed.total_seconds()):
+            async with self._timeouts.limit(time_allowed.total_seconds()):
                 return await self._send(peer, request, started)
         except TimeoutError:
             if not started.is_started:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -112,6 +112,10 @@
     writer.write(sealed_answer(request))
 
 
+async def never_ends(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(10 * GRACE_S)
+
+
 @asynccontextmanager
 async def serving_gateway(
     tmp_path: Path, script: object = works, timeout_ms: int = TIMEOUT_MS
@@ -157,3 +161,23 @@
         early = [each for each in stop.sent if each.after_s < ACCEPT_ALL_S / 2]
         assert {each.response.status for each in early} == {200}
         assert not stop.lost
+
+
+@pytest.mark.parametrize('path', ['/once/a', '/twice/a'])
+async def test_requests_of_any_length_are_answered_in_a_planned_stop(
+    path: str, tmp_path: Path
+) -> None:
+    # Requests that upstreams still ran at the end were cut with no answer.
+    async with serving_gateway(tmp_path, never_ends, 20_000) as stop:
+        stop.signalled_at = time.monotonic()
+        before = asyncio.create_task(stop.send(path, 20_000))
+        await until(lambda: stop.upstream.requests)
+        stop.terminate()
+        await stop.send_until_killed(path, 200, 700, 20_000)
+        await before
+        assert not stop.lost
+        assert not any(each.response.status == 200 for each in stop.sent)
+        latest = max(
+            each.after_s for each in stop.sent if each.response.status == 504
+        )
+        assert latest > ACCEPT_ALL_S
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -1,3 +1,4 @@
+import math
 from datetime import timedelta
 
 import pytest
@@ -57,3 +58,12 @@
     assert window.can_accept(seconds(max_duration)) is is_accepted
     assert window.elapsed == seconds(0)
     assert window.max_elapsed == seconds(paused)
+
+
+def test_accepted_requests_end_before_the_process() -> None:
+    clock = ManualClock()
+    window = ShutdownWindow(lambda: seconds(8), clock)
+    assert window.finish_by == math.inf
+    window.begin()
+    clock.advance(seconds(2.5))
+    assert window.finish_by == pytest.approx(7.36)
