Find out later whether upstreams crashed that nothing can be compared with

Cause: a crash counted only if another upstream could be connected to at that moment, which tells it from a router that is cut off. When the last of three upstreams crashed the others were still away because of the same request, and the crash was dropped for good.

Now it is kept for 20 s and counts once the upstream has started anew, or once another one can be connected to while it still can't; it is dropped if the upstream goes on reporting or leaves. The comparison stays. A request reaches only upstreams that are up, so each further crash comes after what shows the one before. A single upstream with nothing to compare with waits for its new start too: a cut of it had counted as a crash.

--- a/src/bergamotshed/forwarding/crash_detector.py
+++ b/src/bergamotshed/forwarding/crash_detector.py
@@ -9,9 +9,9 @@
 __all__ = ('CrashDetector', 'RequestTraits', 'request_traits')
 
 import asyncio
-import random
 from collections import OrderedDict
 from dataclasses import dataclass
+from functools import partial
 
 from eliot import log_message
 
@@ -24,11 +24,10 @@
 from ..upstreams.pool import ConnectionPool
 from ..upstreams.registry import UpstreamRegistry
 from ..upstreams.types import Instance
+from .control_probes import ControlProbes
 from .types import RoutedRequest
+from .unproven_crashes import CutAnswer, UnprovenCrashes
 
-#: Upstreams that are connected to in order to tell a crash from a router that
-#: reaches none.
-CONTROL_PROBES = 8
 #: Maximum number of fingerprints of answered requests that are kept.
 MAX_REMEMBERED = 4096
 
@@ -46,7 +45,10 @@
 
 
 class CrashDetector:
-    """Distinguishes crashes from lost answers by a connection attempt."""
+    """Distinguishes crashes from lost answers by a connection attempt.
+
+    :ivar unproven: upstreams of which that can't tell yet
+    """
 
     def __init__(
         self,
@@ -56,8 +58,8 @@
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
-        self._registry = registry
-        self._checks = LivenessChecks(pool, clock)
+        self._probes = ControlProbes(registry, LivenessChecks(pool, clock))
+        self.unproven = UnprovenCrashes(registry, self._probes, clock)
         self._clock = clock
         self._tasks: set[asyncio.Task[None]] = set()
         self._successes: OrderedDict[int, None] = OrderedDict()
@@ -110,47 +112,49 @@
         started_at: float,
         ended_at: float,
     ) -> None:
-        if await self._checks.is_alive(instance.address, ended_at):
+        if await self._probes.is_alive(instance.address, ended_at):
             return
-        if not await self._reaches_others(instance, ended_at):
-            log_message(
-                'upstream.crash_unproven',
-                upstream=instance.name,
-                born=instance.born,
-                detail='this router reaches no other upstream either',
-            )
+        record = partial(
+            self._record_crash, traits, instance, started_at, ended_at
+        )
+        if await self._probes.find_reachable(ended_at, instance) is not None:
+            record()
             return
-        crash = Crash(instance.name, str(instance.born))
+        log_message(
+            'upstream.crash_unproven',
+            upstream=instance.name,
+            born=instance.born,
+            sequence=instance.sequence,
+            fingerprint=traits.fingerprint,
+            detail='this router reaches no other upstream either',
+        )
+        self.unproven.add(CutAnswer(instance, ended_at, record))
+
+    def _record_crash(
+        self,
+        traits: RequestTraits,
+        instance: Instance,
+        started_at: float,
+        ended_at: float,
+    ) -> None:
         status = self._quarantine.record_crash(
-            traits.fingerprint, crash, started_at, ended_at, traits.parts
+            traits.fingerprint,
+            Crash(instance.name, str(instance.born)),
+            started_at,
+            ended_at,
+            traits.parts,
         )
         log_message(
             'upstream.crashed',
             upstream=instance.name,
             born=instance.born,
             fingerprint=traits.fingerprint,
+            age=round(self._clock.monotonic() - ended_at, 3),
             standing=status.value,
             parts=traits.parts,
             suspect_parts=sorted(self._quarantine.parts.suspects),
         )
 
-    async def _reaches_others(self, instance: Instance, since: float) -> bool:
-        """Return whether an upstream other than the unreachable one can be
-        connected to; true if there is no other.
-
-        :param since: monotonic time from which on a check counts
-        """
-        others = [
-            other
-            for other in self._registry.instances.values()
-            if other.address != instance.address
-        ]
-        drawn = random.sample(others, min(len(others), CONTROL_PROBES))
-        checks = [
-            self._checks.is_alive(other.address, since) for other in drawn
-        ]
-        return not checks or any(await asyncio.gather(*checks))
-
 
 def request_traits(request: RoutedRequest) -> RequestTraits:
     """Return the traits of a request."""
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -149,6 +149,7 @@
             ).run,
             live.run,
             shutdown.run,
+            forwarding.crashes.unproven.run,
         ],
     )
     register_inspection(gateway)
--- a/tests/gateway/test_cut_off.py
+++ b/tests/gateway/test_cut_off.py
@@ -254,18 +254,27 @@
         assert fleet.pool(1).opened_count == opened_before
 
 
-async def test_a_cut_off_router_takes_no_upstream_for_crashed() -> None:
+@pytest.mark.parametrize('upstreams', [1, 2, 3])
+async def test_a_cut_off_router_takes_no_upstream_for_crashed(
+    upstreams: int,
+) -> None:
     async def waits(request: RawRequest, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(1)
         await answer(request, writer)
 
-    async with running_fleet(size=2, script=waits) as fleet:
+    async with running_fleet(
+        size=2, script=waits, upstreams=upstreams
+    ) as fleet:
+        quarantine = fleet.members[0].gateway.fleet.crashes.quarantine
         sending = [asyncio.ensure_future(fleet.send(0)) for _ in range(12)]
         await until(lambda: len(fleet.env.runs) == len(sending))
         fleet.cut(0, 'reset')
         await asyncio.gather(*sending)
         await asyncio.sleep(1)
-        assert not fleet.members[0].gateway.fleet.crashes.quarantine.export()
+        assert not quarantine.export()
+        fleet.heal(0)
+        await asyncio.sleep(1)
+        assert not quarantine.export()
 
 
 async def test_an_upstream_that_crashes_alone_is_still_found() -> None:
--- a/tests/standins/rawupstream.py
+++ b/tests/standins/rawupstream.py
@@ -57,14 +57,12 @@
     @asynccontextmanager
     async def serving(self) -> AsyncIterator['RawUpstream']:
         """Listen on a free loopback port until the context ends."""
-        server = await asyncio.start_server(self._start, '127.0.0.1', 0)
-        self._server = server
-        port = server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+        await self._listen(0)
         try:
             yield self
         finally:
-            server.close()
+            if self._server is not None:
+                self._server.close()
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -75,6 +73,18 @@
             self._server.close()
         for writer in self._writers:
             reset_connection(writer)
+        self._writers.clear()
+
+    async def start_again(self) -> None:
+        """Listen on the same address again after a crash."""
+        await self._listen(int(self.address.rpartition(':')[2]))
+
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(
+            self._start, '127.0.0.1', port
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
 
     def _start(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -108,6 +118,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed_connections += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
