Take an answer for broken whose status is none

Operators reported a status of 000 that a caller got as an answer. Here the caller waited for its deadline and got 504, as 000 to 099 were taken for interim answers; 600 to 999 were passed on with their body.

Cause: the parser takes any three digits for a status. Outside of 100 to 599 the answer is broken now, so the caller gets 502 at once, or the answer of another attempt where the route allows one.

--- a/src/bergamotshed/upstreams/parsing.py
+++ b/src/bergamotshed/upstreams/parsing.py
@@ -44,6 +44,8 @@
 LOAD_FIELD_COUNT = 3
 
 _BODILESS = frozenset((204, 304))
+#: Statuses outside of these have no meaning in HTTP (RFC 9110, 15).
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 
 
@@ -70,7 +72,7 @@
         self._parser = HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._reason = b''
-        self._has_joined_heads = False
+        self._flaw = ''
         self._pieces: deque[bytes] = deque()
         self._received_bytes = 0
         self._body_bytes = 0
@@ -89,8 +91,8 @@
                 self.has_stray_bytes = True
                 return
             raise UpstreamAnswerBroken(f'malformed answer: {error}') from error
-        if self._has_joined_heads:
-            raise UpstreamAnswerBroken('a status line within a head')
+        if self._flaw:
+            raise UpstreamAnswerBroken(self._flaw)
         allowed = (
             MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
         )
@@ -136,7 +138,10 @@
         self._headers = []
         self._reason = b''
         if any(STATUS_LINE_START in text for text in texts):
-            self._has_joined_heads = True
+            self._flaw = 'a status line within a head'
+            return
+        if status not in _STATUSES:
+            self._flaw = f'{status} is no status'
             return
         if not self.has_stray_bytes and status >= _FIRST_FINAL_STATUS:
             self.head = AnswerHead(
