Give up bodies without end of refusals, failures, peers and the store

Operators reported an upstream that sent bytes without end; the machine that had called it kept them all and ran out of memory, and others' requests ended with it. Here heads had limits, but the body of a refusal was read until the request's deadline, that of a failure was passed on until then with no other attempt, and answers of the store and of other routers were kept whole.

--- a/src/bergamotshed/engines/client.py
+++ b/src/bergamotshed/engines/client.py
@@ -22,6 +22,7 @@
 
 from ..clock import Clock
 from ..decoding import DECODE_ERRORS
+from ..http_bodies import read_body
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .assemble import StreamAssembler
 from .event_parser import EventParser
@@ -139,7 +140,7 @@
     async def _call(self, method: str, url: str, body: bytes | None) -> bytes:
         timeout = self._call_timeout
         async with self._transport.open(method, url, body, timeout) as response:
-            answer = await response.read()
+            answer = await read_body(response)
             count_exchange(
                 self._traffic, PEER, response, len(body or b''), len(answer)
             )
@@ -157,7 +158,7 @@
     """Read what follows the finish event, so that the connection is reused."""
     with suppress(ClientError, OSError):
         async with asyncio.timeout(READ_REST_TIMEOUT_S):
-            await response.read()
+            await read_body(response)
 
 
 def _encode_request(request: EngineRequest) -> bytes:
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -43,6 +43,9 @@
 #: are passed on; if one breaks off by then, the caller can still get a proper
 #: failure or the answer of another attempt.
 MAX_BUFFERED_BYTES = 262_144
+#: Bytes of the body of a refusal that are read, so that the connection can be
+#: used again.
+MAX_SKIPPED_BYTES = 65_536
 
 HTTP_OK = 200
 HTTP_MISDIRECTED = 421
@@ -301,6 +304,10 @@
                 is_answer_started=True,
             )
         if len(buffered) > MAX_BUFFERED_BYTES:
+            if not _is_success(metadata):
+                raise UpstreamAnswerBroken(
+                    f'status {metadata.status} with an endless body'
+                )
             return await self._relay_large(connection, metadata, buffered)
         answer = UpstreamAnswer(
             metadata.status, metadata.caller_headers, bytes(buffered)
@@ -373,7 +380,14 @@
 
 
 async def _skip_body(connection: UpstreamConnection) -> None:
-    """Read an answer to its end, so that the connection can be reused."""
-    piece = b'-'
-    while piece:
-        piece = await connection.read_part()
+    """Read an answer to its end, so that the connection can be reused.
+
+    :raises UpstreamAnswerBroken: its body is incomplete or too long
+    """
+    skipped = 0
+    while piece := await connection.read_part():
+        skipped += len(piece)
+        if skipped > MAX_SKIPPED_BYTES:
+            raise UpstreamAnswerBroken(
+                f'a refusal of more than {MAX_SKIPPED_BYTES} bytes'
+            )
--- a/src/bergamotshed/log/client.py
+++ b/src/bergamotshed/log/client.py
@@ -27,6 +27,7 @@
 
 from ..clock import Clock, SystemClock
 from ..decoding import DECODE_ERRORS
+from ..http_bodies import read_body
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .types import Log, LogAnswerLost, LogPage, LogUnavailable, Record
 
@@ -34,6 +35,8 @@
 
 PEER = 'log'
 CONNECT_TIMEOUT_S = 1.0
+#: Longest page of records.
+MAX_PAGE_BYTES = 67_108_864
 ANSWER_TIMEOUT = timedelta(seconds=3)
 NOT_WRITTEN_STATUSES = frozenset(
     (
@@ -166,7 +169,7 @@
             return msgspec.json.decode(content, type=PageBody)
 
     async def _read_content(self, response: ClientResponse, sent: int) -> bytes:
-        content = await response.read()
+        content = await read_body(response, MAX_PAGE_BYTES)
         self._answered_at = self._clock.monotonic()
         count_exchange(self._traffic, PEER, response, sent, len(content))
         return content
--- a/src/bergamotshed/platform/store.py
+++ b/src/bergamotshed/platform/store.py
@@ -17,6 +17,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from ..decoding import DECODE_ERRORS
+from ..http_bodies import read_body
 from ..store.changes import changes_since
 from ..store.eras import EraReader
 from ..store.types import (
@@ -153,9 +154,7 @@
         except (ClientError, OSError) as error:
             raise StoreUnavailable(f'{path}: {type(error).__name__}') from error
         if status == names.HTTP_GONE:
-            raise StoreHistoryGone(
-                f'{path}: the records are no longer retained'
-            )
+            raise StoreHistoryGone(f'{path}: the records are not retained')
         if status != HTTPStatus.OK:
             raise StoreUnavailable(f'{path}: status {status}')
         return answer
@@ -180,7 +179,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await read_body(response)
             era = None
             if response.status == HTTPStatus.OK:
                 era = self._eras.read(response.headers.get(names.ERA))
--- a/src/bergamotshed/routers/requestrelay.py
+++ b/src/bergamotshed/routers/requestrelay.py
@@ -24,6 +24,7 @@
 from eliot import log_message
 
 from ..clock import Clock
+from ..forwarding.exchange import MAX_BUFFERED_BYTES
 from ..forwarding.peer_forwarder import PeerForwarder
 from ..forwarding.request_timeouts import RequestTimeouts
 from ..forwarding.types import (
@@ -222,11 +223,15 @@
 async def _collect(
     response: ClientResponse, head: AnswerHeadFrame
 ) -> UpstreamAnswer | UnknownOutcome:
+    body = bytearray()
     try:
-        body = b''.join([piece async for piece in _pieces(response)])
+        async for piece in _pieces(response):
+            body += piece
+            if len(body) > MAX_BUFFERED_BYTES:
+                raise RelayFrameError('an answer that should be a stream')
     except (RelayFrameError, ClientError, OSError) as error:
         return UnknownOutcome(Reason.PEER_BROKEN, repr(error))
-    return UpstreamAnswer(head.status, head.headers, body)
+    return UpstreamAnswer(head.status, head.headers, bytes(body))
 
 
 async def _pieces(response: ClientResponse) -> AsyncIterator[bytes]:
--- a/src/bergamotshed/vms/client.py
+++ b/src/bergamotshed/vms/client.py
@@ -19,6 +19,7 @@
 )
 
 from ..decoding import DECODE_ERRORS
+from ..http_bodies import read_body
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .types import Vm, VmList, VmListError, VmRole, VmState
 
@@ -90,7 +91,7 @@
         async with self._session.get(
             self._url, headers=headers, timeout=TIMEOUT, allow_redirects=False
         ) as response:
-            content = await response.read()
+            content = await read_body(response)
             count_exchange(self._traffic, PEER, response, 0, len(content))
             if response.status == HTTPStatus.NOT_MODIFIED:
                 return
--- a/src/bergamotshed/weights/client.py
+++ b/src/bergamotshed/weights/client.py
@@ -20,6 +20,7 @@
 )
 
 from ..decoding import DECODE_ERRORS
+from ..http_bodies import read_body
 from ..http_traffic import CountTraffic, count_exchange, ignore_traffic
 from .types import (
     WeightsRequest,
@@ -84,7 +85,7 @@
         async with self._session.post(
             self._url, data=body, timeout=TIMEOUT, allow_redirects=False
         ) as response:
-            content = await response.read()
+            content = await read_body(response)
             count_exchange(
                 self._traffic, PEER, response, len(body), len(content)
             )
