Take silent upstreams for crashed only by a recent list

A way to the upstreams that comes back one by one would have looked like crashes of those that come back last: the check after the first failed one counted an upstream that can't be connected to while another can. One that a cut hides goes on reporting to the store; it counts now only if it has not for 2.5 s, by a list as recent as that, and is still listed.

--- a/src/bergamotshed/forwarding/crash_detector.py
+++ b/src/bergamotshed/forwarding/crash_detector.py
@@ -128,7 +128,8 @@
             fingerprint=traits.fingerprint,
             detail='this router reaches no other upstream either',
         )
-        self.unproven.add(CutAnswer(instance, ended_at, record))
+        cut_at = self._clock.boottime() - (self._clock.monotonic() - ended_at)
+        self.unproven.add(CutAnswer(instance, cut_at, record))
 
     def _record_crash(
         self,
--- a/src/bergamotshed/forwarding/unproven_crashes.py
+++ b/src/bergamotshed/forwarding/unproven_crashes.py
@@ -9,6 +9,7 @@
 
 __all__ = ('CutAnswer', 'UnprovenCrashes')
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -31,14 +32,17 @@
 #: Reports of an upstream after an answer of it broke off that show that it
 #: still runs; a single one may have been on its way.
 REPORTS_OF_A_RUNNING_ONE = 2
+#: Silence in the list after which an upstream that can't be connected to is
+#: taken for crashed: two of its reports are missing by then.
+MIN_SILENCE = timedelta(milliseconds=2500)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class CutAnswer:
     """An answer that broke off.
 
     :ivar instance: the upstream, as it was listed then
-    :ivar cut_at: in monotonic seconds
+    :ivar cut_at: in seconds since boot
     :ivar record_crash: records that the upstream crashed
     """
 
@@ -62,9 +66,9 @@
 class UnprovenCrashes:
     """Finds out which cut answers were due to crashes.
 
-    An upstream that starts anew had ended. So had one that can't be connected
-    to although another one can be; the other is connected to first, as the way
-    may come back in between.
+    An upstream that starts anew had ended. So had one that has reported nothing
+    to the store since and that can't be connected to although another one can
+    be; the other is connected to first, as the way may come back in between.
     """
 
     def __init__(
@@ -100,7 +104,7 @@
         for listed in self._registry.instances.values():
             known = starts.get(listed.address, 0)
             starts[listed.address] = max(known, listed.born)
-        oldest = self._clock.monotonic() - MAX_AGE.total_seconds()
+        oldest = self._clock.boottime() - MAX_AGE.total_seconds()
         pending = self._pending
         self._pending = []
         for cut in pending:
@@ -133,30 +137,42 @@
         return _Finding.RUNS if has_reported else _Finding.NOTHING
 
     async def _check_reach(self) -> None:
-        """Judge by whether upstreams can be connected to.
-
-        One that is not listed any more may have ended as planned.
-        """
-        listed = [
-            cut
-            for cut in self._pending
-            if cut.instance.name in self._registry.instances
-        ]
-        if not listed:
+        """Judge by whether upstreams can be connected to."""
+        silent = [cut for cut in self._pending if self._is_silent(cut)]
+        if not silent:
             return
         control = await self._probes.find_reachable(self._clock.monotonic())
         if control is None:
             return
         reached_at = self._clock.monotonic() + MAX_EARLINESS.total_seconds()
-        for cut in listed:
-            address = cut.instance.address
-            if address == control.address:
-                continue
-            if await self._probes.is_alive(address, reached_at):
-                continue
-            if cut in self._pending:
-                self._pending.remove(cut)
-                cut.record_crash()
+        answers = await asyncio.gather(
+            *(
+                self._probes.is_alive(cut.instance.address, reached_at)
+                for cut in silent
+            )
+        )
+        crashed = {
+            cut
+            for cut, is_alive in zip(silent, answers, strict=True)
+            if not is_alive
+        }
+        self._pending = [cut for cut in self._pending if cut not in crashed]
+        for cut in crashed:
+            cut.record_crash()
+
+    def _is_silent(self, cut: CutAnswer) -> bool:
+        """Return whether an upstream is still listed and has not reported
+        since its answer broke off, by a list that is recent enough to tell.
+
+        One that is not listed any more may have ended as planned.
+        """
+        listed = self._registry.instances.get(cut.instance.name)
+        confirmed_at = self._registry.versions.confirmed_at
+        return (
+            listed is not None
+            and listed.sequence == cut.instance.sequence
+            and confirmed_at - cut.cut_at >= MIN_SILENCE.total_seconds()
+        )
 
     def _dismiss(self, cut: CutAnswer, reason: str) -> None:
         log_message(
