--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -41,7 +41,7 @@
 
 #: Answers other than event streams are buffered up to this size before they
 #: are passed on; if one breaks off by then, the caller can still get a proper
-#: failure or the answer of another attempt.
+#: failure or the answer of another attempt. A longer failure is broken.
 MAX_BUFFERED_BYTES = 262_144
 #: Bytes of the body of a refusal that are read, so that the connection can be
 #: used again.
@@ -306,7 +306,8 @@
         if len(buffered) > MAX_BUFFERED_BYTES:
             if not _is_success(metadata):
                 raise UpstreamAnswerBroken(
-                    f'status {metadata.status} with an endless body'
+                    f'status {metadata.status} with over '
+                    f'{MAX_BUFFERED_BYTES} bytes'
                 )
             return await self._relay_large(connection, metadata, buffered)
         answer = UpstreamAnswer(
--- a/src/bergamotshed/forwarding/unproven_crashes.py
+++ b/src/bergamotshed/forwarding/unproven_crashes.py
@@ -24,10 +24,10 @@
 from .control_probes import ControlProbes
 
 CHECK_INTERVAL = timedelta(milliseconds=200)
-#: How long it is looked for what shows a crash; several times as long as
-#: upstreams take to start again.
+#: How long a cut answer is kept; several times as long as upstreams take to
+#: start again.
 MAX_AGE = timedelta(seconds=20)
-#: Answers that are kept.
+#: Cut answers that are kept.
 MAX_PENDING = 4096
 #: Reports of an upstream after an answer of it broke off that show that it
 #: still runs; a single one may have been on its way.
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -92,6 +92,7 @@
 
 
 def _handle_stop(handler: Callable[[], None]) -> None:
+    """Call a handler for each signal to stop, in place of an earlier one."""
     loop = asyncio.get_running_loop()
     for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, handler)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -16,7 +16,7 @@
 from tests.standins.rawupstream import RawRequest, RawUpstream, sealed_answer
 from tests.waiting import until
 
-from .support import RawResponse, send_request
+from .support import RawResponse, Script, send_request
 from .test_process import GatewayProcess, gateway_process, publish
 
 pytestmark = pytest.mark.processes
@@ -118,11 +118,11 @@
 
 @asynccontextmanager
 async def serving_gateway(
-    tmp_path: Path, script: object = works, timeout_ms: int = TIMEOUT_MS
+    tmp_path: Path, script: Script = works, timeout_ms: int = TIMEOUT_MS
 ) -> AsyncIterator[Stop]:
     async with (
         KeyedStoreStandIn().serving() as store,
-        RawUpstream(script).serving() as upstream,  # type: ignore[arg-type]
+        RawUpstream(script).serving() as upstream,
         gateway_process(tmp_path, store.address, GRACE_S) as gateway,
     ):
         await publish(store, upstream, timeout_ms)
