Test copies of a harmful request that come at once

The stand-ins of the test started anew under one name where two came back between two crashes; each start has a name of its own now.

--- a/tests/gateway/test_crash_of_all.py
+++ b/tests/gateway/test_crash_of_all.py
@@ -29,10 +29,15 @@
 
 
 class Crashing:
-    """Upstreams that a harmful request crashes, and that start anew."""
+    """Upstreams that a harmful request crashes, and that start anew.
+
+    :ivar crashed_at: time of each crash
+    """
 
     def __init__(self) -> None:
         self.crashed_at: list[float] = []
+        self._down: list[RawUpstream] = []
+        self._start_count = 0
         self.env: GatewayEnvironment
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -46,6 +51,9 @@
         upstream = next(
             each for each in self.env.upstreams if request in each.requests
         )
+        if upstream in self._down:
+            return
+        self._down.append(upstream)
         self.crashed_at.append(asyncio.get_running_loop().time())
         upstream.crash()
         self._tasks.append(asyncio.create_task(self._start_again(upstream)))
@@ -53,14 +61,26 @@
     async def _start_again(self, upstream: RawUpstream) -> None:
         await asyncio.sleep(DOWN_S)
         await upstream.start_again()
-        number = len(self.crashed_at)
+        self._down.remove(upstream)
+        self._start_count += 1
+        number = self._start_count
         entry = {**upstream_entry(upstream.address), 'born': 1 + number}
         self.env.store.put(UPSTREAMS, f'i-again-{number}', entry)
 
 
-@pytest.mark.parametrize('count', [1, 2, 3, 5])
+@pytest.mark.parametrize(
+    ('count', 'route', 'copies'),
+    [
+        (1, 'once', 1),
+        (2, 'once', 1),
+        (3, 'once', 1),
+        (5, 'once', 1),
+        (2, 'twice', 4),
+        (3, 'twice', 4),
+    ],
+)
 async def test_a_request_that_crashes_all_upstreams_is_refused(
-    count: int,
+    count: int, route: str, copies: int
 ) -> None:
     # With no other upstream up, a crash was taken for a lost way.
     crashing = Crashing()
@@ -75,12 +95,17 @@
         ]
         await wait_until_acquainted(members)
         for number in range(int(DURATION_S / PAUSE_S)):
-            response = await send_request(
-                members[number % MEMBERS].port,
-                '/once/harmful',
-                attempt=f'h{number}',
+            responses = await asyncio.gather(
+                *(
+                    send_request(
+                        members[(number + copy) % MEMBERS].port,
+                        f'/{route}/harmful',
+                        attempt=f'h{number}-{copy}',
+                    )
+                    for copy in range(copies)
+                )
             )
-            assert response.status in {502, 503}
+            assert {each.status for each in responses} <= {502, 503}
             await asyncio.sleep(PAUSE_S)
         assert len(crashing.crashed_at) >= MAX_CRASHES
         known_at = crashing.crashed_at[MAX_CRASHES - 1]
