--- a/tests/cluster_plan.py
+++ b/tests/cluster_plan.py
@@ -26,6 +26,7 @@
 [callers]
 host = {host}
 port = {callers}
+max_body = {max_body}
 [peers]
 host = {host}
 port = {peers}
@@ -59,6 +60,7 @@
     :ivar idle_timeout: idle timeout of engine streams in the router settings
     :ivar lease_ttl: validity of the control lease
     :ivar router_command: command that starts a router; the package by default
+    :ivar max_body: size of the largest request body in bytes
     :ivar has_log_relays: whether each router has its own relay to the log
     """
 
@@ -70,6 +72,7 @@
     lease_ttl: str = '3s'
     entries_lifetime: int = 1
     router_command: tuple[str, ...] = (sys.executable, '-m', 'bergamotshed')
+    max_body: int = 2_097_152
     has_log_relays: bool = False
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -131,6 +131,7 @@
             seeds=', '.join(
                 f'{host}:{self._peers_port}' for host in other_hosts
             ),
+            max_body=self.plan.max_body,
             idle=self.plan.idle_timeout,
             lease=self.plan.lease_ttl,
             log=relay.address if relay else self.addresses['log'],
@@ -146,6 +147,10 @@
         """Return the address on which a router serves operators."""
         return f'{HOSTS[number - 1]}:{self._operators_port}'
 
+    def peers_address(self, number: int) -> str:
+        """Return the address on which a router serves other routers."""
+        return f'{HOSTS[number - 1]}:{self._peers_port}'
+
     def set_vm_state(self, name: str, state: str) -> None:
         """Change the state of a VM in the next VM list."""
         self._vms[name]['state'] = state
