--- a/src/bergamotshed/forwarding/dialect.py
+++ b/src/bergamotshed/forwarding/dialect.py
@@ -36,10 +36,10 @@
         """
 
     @abstractmethod
-    def write_request(
+    def write_head(
         self, request: RoutedRequest, metadata: RequestMetadata
     ) -> bytes:
-        """Write the request for an upstream, body included."""
+        """Write the head of the request for an upstream."""
 
     @abstractmethod
     def read_answer(self, head: AnswerHead) -> AnswerMetadata:
--- a/src/bergamotshed/forwarding/exchange.py
+++ b/src/bergamotshed/forwarding/exchange.py
@@ -160,7 +160,7 @@
         if self.relay.is_started and last_id is not None:
             request = request.resumed_after(str(last_id))
         if not connection.send(
-            self._dialect.write_request(request, request_metadata)
+            self._dialect.write_head(request, request_metadata), request.body
         ):
             return AttemptResult(
                 AttemptOutcome.NOT_SENT, 'the connection was closed'
--- a/src/bergamotshed/platform/headers.py
+++ b/src/bergamotshed/platform/headers.py
@@ -102,17 +102,17 @@
             resumed_attempt=texts.get(names.RESUMED_ATTEMPT),
         )
 
-    def write_request(
+    def write_head(
         self, request: RoutedRequest, metadata: RequestMetadata
     ) -> bytes:
-        """Write a request for an upstream."""
+        """Write the head of a request for an upstream."""
         lines = [
             f'{request.method} {request.target} HTTP/1.1'.encode('latin-1'),
             b'Host: ' + request.host.encode('latin-1'),
             *(name + b': ' + value for name, value in request.headers),
             *_router_headers(request, metadata),
             b'',
-            request.body,
+            b'',
         ]
         return b'\r\n'.join(lines)
 
--- a/src/bergamotshed/upstreams/connection.py
+++ b/src/bergamotshed/upstreams/connection.py
@@ -58,13 +58,17 @@
             and not parser.has_stray_bytes
         )
 
-    def send(self, payload: bytes) -> bool:
-        """Write one request; return whether any byte was written."""
+    def send(self, head: bytes, body: bytes = b'') -> bool:
+        """Write one request; return whether any byte was written.
+
+        Head and body are not joined, as a long body would be copied.
+        """
         if not self.is_reusable:
             return False
         self.request_count += 1
-        self._parser = AnswerParser(has_no_body=payload.startswith(b'HEAD '))
-        cast(asyncio.Transport, self._transport).write(payload)
+        self._parser = AnswerParser(has_no_body=head.startswith(b'HEAD '))
+        transport = cast(asyncio.Transport, self._transport)
+        transport.writelines((head, body) if body else (head,))
         return True
 
     async def read_head(self) -> AnswerHead:
--- a/tests/upstreams/test_connection.py
+++ b/tests/upstreams/test_connection.py
@@ -1,4 +1,6 @@
 import asyncio
+import hashlib
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -80,6 +82,22 @@
         assert await read_all(connection) == b'whole'
 
 
+async def measured(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    digest = hashlib.sha256(request.body).hexdigest().encode()
+    writer.write(sealed_answer(request, digest))
+
+
+@pytest.mark.parametrize('size', [0, 1, 100_000, 4_194_304])
+async def test_sends_a_body_unchanged(size: int) -> None:
+    head = REQUEST[:-2] + b'Content-Length: %d\r\n\r\n' % size
+    body = random.Random(size).randbytes(size)
+    async with connected(measured) as (connection, _):
+        assert connection.send(head, body)
+        assert (await read_all(connection)).decode() == (
+            hashlib.sha256(body).hexdigest()
+        )
+
+
 async def unsized_reset(
     request: RawRequest, writer: asyncio.StreamWriter
 ) -> None:
