--- a/src/bergamotshed/callers/app.py
+++ b/src/bergamotshed/callers/app.py
@@ -20,7 +20,7 @@
 from ..dispatch.types import Failure, FailureType
 from ..reasons import Reason
 from .entry_addresses import EntryAddressesSource
-from .errors import BadRequest, failure_response
+from .errors import BadRequest, RequestRefused, failure_response
 from .handlers import CallerHandlers
 from .parse import CallParser
 from .placement_tokens import PlacementTokens
@@ -80,7 +80,7 @@
     """Turn exceptions into error responses in the callers' format."""
     try:
         return await handler(request)
-    except BadRequest as error:
+    except (BadRequest, RequestRefused) as error:
         response = failure_response(error.failure)
         # The unread rest of the body may still follow on the connection.
         response.force_close()
--- a/src/bergamotshed/callers/errors.py
+++ b/src/bergamotshed/callers/errors.py
@@ -5,8 +5,15 @@
 Encodes failures in the callers' format.
 """
 
-__all__ = ('BadRequest', 'failure_body', 'failure_headers', 'failure_response')
-
+__all__ = (
+    'BadRequest',
+    'RequestRefused',
+    'failure_body',
+    'failure_headers',
+    'failure_response',
+)
+
+from datetime import timedelta
 from typing import Any
 
 from aiohttp import web
@@ -18,6 +25,7 @@
 from ..retry_after import format_retry_after
 
 HTTP_BAD_REQUEST = 400
+HTTP_UNAVAILABLE = 503
 
 
 class BadRequest(BergamotshedError):
@@ -38,6 +46,25 @@
         )
 
 
+class RequestRefused(BergamotshedError):
+    """A request was refused before it was read; it did not run.
+
+    :param retry_after: when its caller may come back
+    """
+
+    def __init__(
+        self, reason: Reason, retry_after: timedelta, message: str
+    ) -> None:
+        super().__init__(message)
+        self.failure = Failure(
+            FailureType.REFUSED_NOT_RUN,
+            reason,
+            message,
+            HTTP_UNAVAILABLE,
+            retry_after,
+        )
+
+
 def failure_body(failure: Failure) -> bytes:
     """Encode a failure as JSON."""
     retry_after = failure.retry_after
--- a/src/bergamotshed/callers/parse.py
+++ b/src/bergamotshed/callers/parse.py
@@ -8,20 +8,21 @@
 
 __all__ = ('CallParser', 'ParsedChat')
 
-import asyncio
 from dataclasses import dataclass
 from datetime import timedelta
 from secrets import token_hex
 from typing import Annotated
 
-from aiohttp import ClientError, web
+from aiohttp import web
 from msgspec import Meta, Struct
 from msgspec.json import Decoder
 
 from ..decoding import DECODE_ERRORS
 from ..dispatch.types import CallOptions, ChatCall, PlainCall
 from ..engines.types import ChatMessage
-from .errors import BadRequest
+from ..intake.bodies import BodyFlaw, read_request_body
+from ..reasons import Reason
+from .errors import HTTP_BAD_REQUEST, BadRequest, RequestRefused
 from .placement_tokens import PlacementTokens
 
 DEFAULT_DEADLINE = timedelta(seconds=60)
@@ -37,6 +38,15 @@
 
 HTTP_REQUEST_TIMEOUT = 408
 HTTP_CONTENT_TOO_LARGE = 413
+_FLAW_STATUSES = {
+    BodyFlaw.TOO_LARGE: HTTP_CONTENT_TOO_LARGE,
+    BodyFlaw.TOO_SLOW: HTTP_REQUEST_TIMEOUT,
+    BodyFlaw.MALFORMED: HTTP_BAD_REQUEST,
+}
+#: A request is held as received, decoded, and encoded for its engine.
+REQUEST_COST_FACTOR = 3
+#: When a caller whose body found no memory may come back.
+MEMORY_RETRY_AFTER = timedelta(seconds=1)
 
 _TokenCount = Annotated[int, Meta(ge=1, le=MAX_TOKENS)]
 
@@ -85,7 +95,7 @@
         self, tokens: PlacementTokens, read_timeout: timedelta
     ) -> None:
         self._tokens = tokens
-        self._read_timeout_s = read_timeout.total_seconds()
+        self._read_timeout = read_timeout
         self._chat_decoder = Decoder(ChatBody)
 
     async def parse_chat(self, request: web.Request) -> ParsedChat:
@@ -151,19 +161,19 @@
         )
 
     async def _read_body(self, request: web.Request) -> bytes:
-        try:
-            async with asyncio.timeout(self._read_timeout_s):
-                return await request.read()
-        except TimeoutError as error:
-            raise BadRequest(
-                'the body did not arrive in time', HTTP_REQUEST_TIMEOUT
-            ) from error
-        except web.HTTPRequestEntityTooLarge as error:
-            raise BadRequest(
-                'the body is too large', HTTP_CONTENT_TOO_LARGE
-            ) from error
-        except (ClientError, web.RequestPayloadError) as error:
-            raise BadRequest('the body is not readable') from error
+        body = await read_request_body(
+            request,
+            request.client_max_size,
+            self._read_timeout,
+            REQUEST_COST_FACTOR,
+        )
+        if body is BodyFlaw.NO_MEMORY:
+            raise RequestRefused(
+                Reason.OVERLOADED, MEMORY_RETRY_AFTER, body.value
+            )
+        if isinstance(body, BodyFlaw):
+            raise BadRequest(body.value, _FLAW_STATUSES[body])
+        return body
 
 
 def _text_header(request: web.Request, name: str) -> str:
--- a/src/bergamotshed/callers/server.py
+++ b/src/bergamotshed/callers/server.py
@@ -14,15 +14,15 @@
 from aiohttp.typedefs import Handler
 
 from ..dispatch.types import Failure, FailureType
+from ..intake.connection import guard
+from ..intake.intake import Intake
 from ..reasons import Reason
+from ..sockets import BACKLOG, listen
 from .app import READ_TIMEOUT
-from .errors import failure_response
+from .errors import HTTP_UNAVAILABLE, failure_response
 from .head_timeouts import HeadTimeouts
 
-BACKLOG = 1024
 KEEPALIVE_S = 75.0
-LINGERING_S = 1.0
-HTTP_UNAVAILABLE = 503
 STOPPING_RETRY_AFTER = timedelta(seconds=1)
 
 
@@ -32,7 +32,9 @@
     :param port: 0 lets the operating system choose
     """
 
-    def __init__(self, host: str, port: int, app: web.Application) -> None:
+    def __init__(
+        self, host: str, port: int, app: web.Application, intake: Intake
+    ) -> None:
         self._host = host
         self._port = port
         self._in_flight = 0
@@ -40,12 +42,9 @@
         self._idle = asyncio.Event()
         self._idle.set()
         app.middlewares.insert(0, self._track_request)
+        self._intake = intake
         self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_S,
-            lingering_time=LINGERING_S,
+            app, access_log=None, handler_cancellation=True
         )
         self._head_timeouts = HeadTimeouts(app[READ_TIMEOUT])
         self._listener: asyncio.Server | None = None
@@ -64,7 +63,9 @@
         """Start to accept connections."""
         await self._runner.setup()
         listener = await asyncio.get_running_loop().create_server(
-            self._create_connection, self._host, self._port, backlog=BACKLOG
+            self._create_connection,
+            sock=listen(f'{self._host}:{self._port}'),
+            backlog=BACKLOG,
         )
         self._listener = listener
         self._port = listener.sockets[0].getsockname()[1]
@@ -88,7 +89,12 @@
         server = self._runner.server
         if server is None:
             raise RuntimeError('the server has not started')
-        connection = server()
+        connection = guard(
+            server,
+            self._intake,
+            on_lost=self._head_timeouts.stop_timer,
+            keepalive_timeout=KEEPALIVE_S,
+        )()
         self._head_timeouts.start_timer(connection)
         return connection
 
--- a/src/bergamotshed/composition.py
+++ b/src/bergamotshed/composition.py
@@ -29,6 +29,7 @@
 from .engines.probe import UpstreamProbe
 from .engines.watch import EngineReports
 from .inspection import InspectedParts, build_operators_server
+from .intake.intake import Intake
 from .log.client import HttpLog
 from .operators.server import OperatorsServer
 from .parts import (
@@ -105,6 +106,7 @@
         clock=clock,
         rng=random.SystemRandom(),
         traffic=traffic,
+        intake=Intake.of_machine(settings.limits.memory_mb, clock),
         session=session,
         configuration=ConfigurationInForce(),
         log=HttpLog(settings.platform.log, clock, session, traffic.count),
@@ -263,7 +265,9 @@
         max_body_bytes=settings.callers.max_body,
         read_timeout=settings.callers.read_timeout,
     )
-    return CallersServer(settings.callers.host, settings.callers.port, app)
+    return CallersServer(
+        settings.callers.host, settings.callers.port, app, core_parts.intake
+    )
 
 
 def _build_drain(
@@ -293,6 +297,7 @@
         InspectedParts(
             configuration=core_parts.configuration,
             traffic=core_parts.traffic,
+            intake=core_parts.intake,
             reports=core_parts.reports,
             membership=fleet_parts.membership,
             mesh=fleet_parts.mesh,
--- a/src/bergamotshed/edge/info_server.py
+++ b/src/bergamotshed/edge/info_server.py
@@ -24,11 +24,15 @@
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
+from ..intake.connection import guard
+from ..intake.intake import Intake
 from ..sockets import listen
 
 JSON_TYPE = 'application/json'
 #: How long open connections may take to close at shutdown.
 CLOSE_TIMEOUT_S = 0.1
+#: How long a client's idle connection is kept open.
+IDLE_TIMEOUT_S = 75.0
 
 
 class EntryAddresses(msgspec.Struct):
@@ -86,11 +90,19 @@
     :param pages: pages by path
     """
 
-    def __init__(self, address: str, pages: dict[str, InfoPage]) -> None:
+    def __init__(
+        self, address: str, pages: dict[str, InfoPage], intake: Intake
+    ) -> None:
         self._address = address
         self._pages = pages
         self._listener: asyncio.Server | None = None
-        self._server = web.Server(self._handle, access_log=None)
+        self._server = web.Server(self._handle)
+        self._connect = guard(
+            self._server,
+            intake,
+            auto_decompress=False,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+        )
 
     async def start(
         self, listening_socket: socket.socket | None = None
@@ -103,7 +115,7 @@
         """
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._server, sock=listening_socket or listen(self._address)
+            self._connect, sock=listening_socket or listen(self._address)
         )
 
     async def stop(self) -> None:
--- a/src/bergamotshed/edge/server.py
+++ b/src/bergamotshed/edge/server.py
@@ -20,11 +20,13 @@
 from aiohttp.web_request import BaseRequest
 from eliot import log_message
 
-from ..callers.head_timeouts import HeadTimeouts
 from ..clock import Clock
 from ..forwarding.dialect import Dialect, RequestMalformed
 from ..forwarding.forwarder import Forwarder, ForwardingResult
 from ..forwarding.types import StreamedAnswer, UnknownOutcome, UpstreamAnswer
+from ..intake.bodies import BodyFlaw, read_request_body
+from ..intake.connection import guard
+from ..intake.intake import Intake
 from ..process.requests import RequestMetrics
 from ..reasons import Reason, Refusal
 from ..routes.types import RequestLimits
@@ -36,16 +38,22 @@
 )
 from .sink import CallerSink
 
-#: Limits of a request's head; the configuration's own limit is far below.
-MAX_HEAD_BYTES = 65_536
-MAX_HEADERS = 256
+#: Colon, space and line end of a header.
+HEADER_SEPARATOR_BYTES = 4
 #: How long written bytes may stay unacknowledged by a caller.
 UNACKNOWLEDGED_LIMIT = timedelta(seconds=5)
 #: How long open connections may take to close at shutdown; zero would mean no
 #: limit to the library.
 CLOSE_TIMEOUT_S = 0.1
 #: How long a body may take to arrive, independent of the caller's deadline.
-BODY_TIMEOUT_S = 10
+BODY_TIMEOUT = timedelta(seconds=10)
+#: When a caller whose body found no memory may come back.
+MEMORY_RETRY_AFTER = timedelta(seconds=1)
+_FLAW_STATUSES = {
+    BodyFlaw.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    BodyFlaw.TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
+    BodyFlaw.MALFORMED: HTTPStatus.BAD_REQUEST,
+}
 #: How long after its start the server reads requests that arrived before it:
 #: some tens of iterations of the event loop.
 CATCH_UP_TIME = timedelta(milliseconds=100)
@@ -70,6 +78,7 @@
 
     :ivar in_flight: number of requests that are being answered
     :ivar limits: limits of requests, as in the configuration
+    :ivar intake: the account of what clients cost
     """
 
     def __init__(
@@ -79,9 +88,11 @@
         dialect: Dialect,
         metrics: RequestMetrics,
         clock: Clock,
+        intake: Intake,
     ) -> None:
         self.in_flight = 0
         self.limits = DEFAULT_LIMITS
+        self.intake = intake
         self._options = options
         self._forwarder = forwarder
         self._dialect = dialect
@@ -89,19 +100,13 @@
         self._clock = clock
         self._is_draining = False
         self._caught_up_at = -math.inf
-        # Connections that never send a request are closed without a response.
-        self._head_timeouts = HeadTimeouts(options.idle_timeout, b'')
         self._listener: asyncio.Server | None = None
-        self._server = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            access_log=None,
+        self._server = web.Server(self._handle, handler_cancellation=True)
+        self._connect = guard(
+            self._server,
+            intake,
             auto_decompress=False,
             keepalive_timeout=options.idle_timeout.total_seconds(),
-            lingering_time=1,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
-            max_headers=MAX_HEADERS,
         )
 
     async def start(
@@ -137,17 +142,10 @@
         """Close the listener and all connections."""
         if self._listener is not None:
             self._listener.close()
-        self._head_timeouts.close()
         await self._server.shutdown(CLOSE_TIMEOUT_S)
 
-    def _connect(self) -> asyncio.Protocol:
-        connection = self._server()
-        self._head_timeouts.start_timer(connection)
-        return connection
-
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
         arrived_at = self._arrival_time(request)
-        self._head_timeouts.stop_timer(request.protocol)
         self.in_flight += 1
         try:
             response = await self._answer(request, arrived_at)
@@ -177,9 +175,14 @@
     async def _answer(
         self, request: BaseRequest, arrived_at: float
     ) -> web.StreamResponse:
+        if _header_bytes(request) > self.limits.max_header_bytes:
+            return bad_request_response(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                'the headers are too large',
+            )
         body = await self._read_body(request)
-        if isinstance(body, web.Response):
-            return body
+        if isinstance(body, BodyFlaw):
+            return _flaw_response(body)
         try:
             routed = self._dialect.read_request(
                 request.method,
@@ -203,33 +206,13 @@
             self._record_end(routed.attempt_id, result, arrived_at)
         return self._build_response(result, sink)
 
-    async def _read_body(self, request: BaseRequest) -> bytes | web.Response:
-        if not request.body_exists:
-            return b''
+    async def _read_body(self, request: BaseRequest) -> bytes | BodyFlaw:
         if request.headers.get('Expect', '').lower() == '100-continue':
             await request.writer.write(CONTINUE)
             request.writer.output_size = 0
-        limit = self.limits.max_body_bytes
-        if (request.content_length or 0) > limit:
-            return bad_request_response(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'the body is too large'
-            )
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await _read_limited(request, limit)
-        except TimeoutError:
-            return bad_request_response(
-                HTTPStatus.REQUEST_TIMEOUT, 'the body did not arrive in time'
-            )
-        except web.RequestPayloadError as error:
-            return bad_request_response(
-                HTTPStatus.BAD_REQUEST, f'body: {error}'
-            )
-        if len(body) > limit:
-            return bad_request_response(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'the body is too large'
-            )
-        return body
+        return await read_request_body(
+            request, self.limits.max_body_bytes, BODY_TIMEOUT
+        )
 
     def _build_response(
         self, result: ForwardingResult, sink: CallerSink
@@ -274,15 +257,24 @@
     return StreamedAnswer(is_complete=False)
 
 
-async def _read_limited(request: BaseRequest, limit: int) -> bytes:
-    """Read the body, up to the first piece that exceeds the limit."""
-    body = bytearray()
-    while len(body) <= limit:
-        piece = await request.content.readany()
-        if not piece:
-            break
-        body += piece
-    return bytes(body)
+def _header_bytes(request: BaseRequest) -> int:
+    return sum(
+        len(name) + len(field) + HEADER_SEPARATOR_BYTES
+        for name, field in request.raw_headers
+    )
+
+
+def _flaw_response(flaw: BodyFlaw) -> web.Response:
+    """Return the response to a request whose body was not read."""
+    status = _FLAW_STATUSES.get(flaw)
+    if status is not None:
+        return bad_request_response(status, flaw.value)
+    response = refusal_response(
+        Refusal(Reason.OVERLOADED, MEMORY_RETRY_AFTER, flaw.value)
+    )
+    # The unread body may still follow on the connection.
+    response.force_close()
+    return response
 
 
 def _classify_result(result: ForwardingResult | None) -> tuple[str, str]:
--- a/src/bergamotshed/gateway/composition.py
+++ b/src/bergamotshed/gateway/composition.py
@@ -19,6 +19,7 @@
 from ..edge.server import EdgeOptions, EdgeServer
 from ..forwarding.dependencies import ForwardingDependencies
 from ..forwarding.forwarder import Forwarder
+from ..intake.intake import Intake
 from ..operators.server import OperatorsServer
 from ..platform.configuration import PlatformRoutingDataDecoder
 from ..platform.instances import PlatformInstanceDecoder
@@ -84,8 +85,8 @@
         lambda: timedelta(seconds=live.current.node.grace_s), clock
     )
     fleet = _build_fleet_parts(settings, clock, entry, shutdown, session)
-    meters = Meters(settings.node.name)
-    metrics = GatewayMetrics(meters, RequestMetrics(meters))
+    metrics = _build_metrics(settings)
+    intake = Intake.of_machine(settings.limits.memory_mb, clock)
     forwarding = build_forwarding(live, clock, fleet, shutdown, session)
     announcer = Announcer(
         fleet.store,
@@ -104,13 +105,15 @@
             settings.addresses.relay,
             Forwarder(forwarding).forward_for_peer,
             clock,
+            intake,
         ),
         announcer=announcer,
-        edge=_build_edge(settings.addresses, forwarding, metrics),
+        edge=_build_edge(settings.addresses, forwarding, metrics, intake),
         shutdown=shutdown,
         health=InfoServer(
             settings.addresses.health,
             {'/v1/health': HealthPage(lambda: gateway.is_ready())},
+            intake,
         ),
         directory=InfoServer(
             settings.addresses.directory,
@@ -120,12 +123,14 @@
                     lambda: gateway.settings.directory.lifetime_s,
                 )
             },
+            intake,
         ),
         operators=OperatorsServer(
             *_host_and_port(settings.addresses.operators),
             lambda: health_report(gateway),
             journal,
-            meters.exposition,
+            intake,
+            metrics.meters.exposition,
         ),
         tasks=[
             *(follower.run for follower in fleet.followers.values()),
@@ -156,6 +161,11 @@
     return gateway
 
 
+def _build_metrics(settings: GatewaySettings) -> GatewayMetrics:
+    meters = Meters(settings.node.name)
+    return GatewayMetrics(meters, RequestMetrics(meters))
+
+
 def _build_fleet_parts(
     settings: GatewaySettings,
     clock: Clock,
@@ -270,6 +280,7 @@
     addresses: AddressSettings,
     forwarding: ForwardingDependencies,
     metrics: GatewayMetrics,
+    intake: Intake,
 ) -> EdgeServer:
     return EdgeServer(
         EdgeOptions(addresses.callers, CALLER_IDLE_TIMEOUT),
@@ -277,6 +288,7 @@
         forwarding.dialect,
         metrics.requests,
         forwarding.clock,
+        intake,
     )
 
 
--- a/src/bergamotshed/gateway/inspection.py
+++ b/src/bergamotshed/gateway/inspection.py
@@ -98,6 +98,7 @@
         'reach': lambda: _reach_state(gateway),
         'requests': lambda: _request_state(gateway),
         'quarantine': fleet.crashes.quarantine.export,
+        'intake': lambda: gateway.edge.intake.state,
     }
     for name, provider in providers.items():
         gateway.operators.register(name, provider)
--- a/src/bergamotshed/gateway/live_settings.py
+++ b/src/bergamotshed/gateway/live_settings.py
@@ -20,7 +20,7 @@
 #: Time between two checks whether the file has changed.
 CHECK_INTERVAL = timedelta(seconds=1)
 #: Sections that are read only at startup; a change needs a restart.
-RESTART_SECTIONS = frozenset(('addresses', 'store'))
+RESTART_SECTIONS = frozenset(('addresses', 'store', 'limits'))
 
 
 class LiveSettings:
@@ -78,6 +78,7 @@
             loaded,
             addresses=self._current.addresses,
             store=self._current.store,
+            limits=self._current.limits,
         )
 
     def _stat_file(self) -> tuple[int, int] | None:
--- a/src/bergamotshed/gateway/settings.py
+++ b/src/bergamotshed/gateway/settings.py
@@ -20,7 +20,7 @@
 
 from ..network_options import Address
 from ..options import Flag, Name, Number, option
-from ..settings import read_settings
+from ..settings import LimitsSettings, read_settings
 
 MAX_MILLISECONDS = 3_600_000
 MAX_SECONDS = 86_400
@@ -142,6 +142,7 @@
     )
     retries: RetrySettings = field(default_factory=RetrySettings)
     directory: DirectorySettings = field(default_factory=DirectorySettings)
+    limits: LimitsSettings = field(default_factory=LimitsSettings)
 
 
 def load_gateway_settings(path: str) -> GatewaySettings:
--- a/src/bergamotshed/inspection.py
+++ b/src/bergamotshed/inspection.py
@@ -17,6 +17,7 @@
 from .control.reconcile import Reconciler
 from .control.types import ConfigurationInForce
 from .engines.watch import EngineReports
+from .intake.intake import Intake
 from .operators.server import HealthReport, OperatorsServer, Provider
 from .process.drain import Drain, DrainPhase
 from .process.journal import Journal
@@ -38,6 +39,7 @@
 
     configuration: ConfigurationInForce
     traffic: Traffic
+    intake: Intake
     reports: EngineReports
     membership: Membership
     mesh: PeerMesh
@@ -99,6 +101,7 @@
         settings.operators.port,
         lambda: _health_report(settings.router.name, parts),
         journal,
+        parts.intake,
         meters.exposition,
         parts.placer.explain,
     )
@@ -119,6 +122,7 @@
         'lease': lambda: parts.lease.state,
         'reconciler': lambda: parts.reconciler.state,
         'quarantine': parts.quarantine.export,
+        'intake': lambda: parts.intake.state,
     }
     for name, provider in providers.items():
         server.register(name, provider)
--- a/src/bergamotshed/operators/server.py
+++ b/src/bergamotshed/operators/server.py
@@ -8,18 +8,25 @@
 
 __all__ = ('HealthReport', 'OperatorsServer', 'Provider')
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import cast
 
 import msgspec
 from aiohttp import web
 
+from ..intake.connection import guard
+from ..intake.intake import Intake
 from ..process.journal import Journal, JournalEntry
+from ..sockets import listen
 from .errors import ExplainError
 
 EXPOSITION_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 SHUTDOWN_TIMEOUT_S = 1
+#: How long an operator's idle connection is kept open.
+IDLE_TIMEOUT_S = 75.0
 EXPLAIN_PARAMETERS = frozenset(('request', 'engine'))
 
 Provider = Callable[[], object]
@@ -68,6 +75,7 @@
         port: int,
         health: Callable[[], HealthReport],
         journal: Journal,
+        intake: Intake,
         exposition: Callable[[], bytes] | None = None,
         decisions: Callable[[str], object] | None = None,
     ) -> None:
@@ -75,17 +83,19 @@
         self._port = port
         self._health = health
         self._journal = journal
+        self._intake = intake
         self._exposition = exposition
         self._decisions = decisions
         self._providers: dict[str, Provider] = {}
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
 
     @property
     def port(self) -> int:
         """Return the port, even if the operating system chose it."""
-        if self._runner is None or not self._runner.addresses:
+        if self._listener is None or not self._listener.sockets:
             return self._port
-        return int(self._runner.addresses[0][1])
+        return int(self._listener.sockets[0].getsockname()[1])
 
     def register(self, name: str, provider: Provider) -> None:
         """Add a section to the state dump.
@@ -109,10 +119,20 @@
             app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, self._host, self._port).start()
+        self._listener = await asyncio.get_running_loop().create_server(
+            guard(
+                cast(web.Server, self._runner.server),
+                self._intake,
+                auto_decompress=False,
+                keepalive_timeout=IDLE_TIMEOUT_S,
+            ),
+            sock=listen(f'{self._host}:{self._port}'),
+        )
 
     async def stop(self) -> None:
         """Stop listening."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/src/bergamotshed/parts.py
+++ b/src/bergamotshed/parts.py
@@ -32,6 +32,7 @@
 from .dispatch.plain import PlainDispatcher
 from .engines.types import EngineClient
 from .engines.watch import EngineReports
+from .intake.intake import Intake
 from .log.types import Log
 from .operators.server import OperatorsServer
 from .process.drain import Drain
@@ -54,6 +55,7 @@
 class CoreParts:
     """The parts that all others depend on.
 
+    :ivar intake: the account of what clients cost
     :ivar session: HTTP client for the platform and engines
     :ivar service_connections: connections to plain services
     :ivar configuration: the configuration in force
@@ -65,6 +67,7 @@
     clock: Clock
     rng: random.Random
     traffic: Traffic
+    intake: Intake
     session: ClientSession
     configuration: ConfigurationInForce
     log: Log
--- a/src/bergamotshed/routers/relayserver.py
+++ b/src/bergamotshed/routers/relayserver.py
@@ -7,9 +7,11 @@
 
 __all__ = ('RELAY_PATH', 'ForwardForPeer', 'RelayServer')
 
+import asyncio
 import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from datetime import timedelta
 from http import HTTPStatus
 
 import msgspec
@@ -28,7 +30,10 @@
     UnknownOutcome,
     UpstreamAnswer,
 )
-from ..reasons import Refusal
+from ..intake.bodies import BodyFlaw, read_request_body
+from ..intake.connection import guard
+from ..intake.intake import Intake
+from ..reasons import Reason, Refusal
 from ..sockets import BACKLOG, enable_keepalive, listen
 from .relayframes import (
     MAX_PIECE_BYTES,
@@ -44,6 +49,16 @@
 RELAY_PATH = '/v1/requests'
 #: Longest request, with its headers; a configuration allows callers less.
 MAX_REQUEST_BYTES = 8_388_608
+#: A request is held encoded and decoded for a moment.
+REQUEST_COST_FACTOR = 2
+#: How long a request may take to arrive.
+REQUEST_TIMEOUT = timedelta(seconds=10)
+#: How long a peer's idle connection is kept open.
+IDLE_TIMEOUT_S = 75.0
+#: How long requests in flight may take at shutdown.
+CLOSE_TIMEOUT_S = 60
+#: When a peer whose request found no memory may come back.
+MEMORY_RETRY_AFTER = timedelta(seconds=1)
 
 _RelayResult = UpstreamAnswer | StreamedAnswer | Refusal | UnknownOutcome
 
@@ -94,20 +109,20 @@
     """
 
     def __init__(
-        self, address: str, forward: ForwardForPeer, clock: Clock
+        self,
+        address: str,
+        forward: ForwardForPeer,
+        clock: Clock,
+        intake: Intake,
     ) -> None:
         self.in_flight = 0
         self.received_count = 0
         self._address = address
         self._forward = forward
         self._clock = clock
-        self._runner = web.ServerRunner(
-            web.Server(
-                self._handle,
-                handler_cancellation=True,
-                access_log=None,
-            )
-        )
+        self._intake = intake
+        self._listener: asyncio.Server | None = None
+        self._server = web.Server(self._handle, handler_cancellation=True)
 
     async def start(self) -> None:
         """Start to accept connections.
@@ -116,24 +131,35 @@
         """
         if not self._address:
             return
-        await self._runner.setup()
         listener = listen(self._address)
         # Accepted connections inherit the options.
         enable_keepalive(listener)
-        await web.SockSite(self._runner, listener, backlog=BACKLOG).start()
+        self._listener = await asyncio.get_running_loop().create_server(
+            guard(
+                self._server,
+                self._intake,
+                auto_decompress=False,
+                keepalive_timeout=IDLE_TIMEOUT_S,
+            ),
+            sock=listener,
+            backlog=BACKLOG,
+        )
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
-        await self._runner.cleanup()
+        if self._listener is not None:
+            self._listener.close()
+        self._server.pre_shutdown()
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
         arrived_at = self._clock.monotonic()
-        payload = bytearray()
-        while len(payload) <= MAX_REQUEST_BYTES:
-            piece = await request.content.readany()
-            if not piece:
-                break
-            payload += piece
+        payload = await read_request_body(
+            request, MAX_REQUEST_BYTES, REQUEST_TIMEOUT, REQUEST_COST_FACTOR
+        )
+        if isinstance(payload, BodyFlaw):
+            log_message('relay.unread', detail=payload.value)
+            return _flaw_response(payload)
         try:
             routed = _decoder.decode(payload)
         except DECODE_ERRORS as error:
@@ -181,6 +207,28 @@
         return response
 
 
+def _flaw_response(flaw: BodyFlaw) -> web.Response:
+    """Return the response to a request that was not read."""
+    response = web.Response(status=HTTPStatus.BAD_REQUEST)
+    if flaw is BodyFlaw.NO_MEMORY:
+        response = web.Response(
+            body=encode_frame(
+                _relayed_refusal(
+                    Refusal(Reason.OVERLOADED, MEMORY_RETRY_AFTER, flaw.value)
+                )
+            )
+        )
+    response.force_close()
+    return response
+
+
+def _relayed_refusal(refusal: Refusal) -> RelayedRefusal:
+    retry_after = -1
+    if refusal.retry_after is not None:
+        retry_after = round(refusal.retry_after.total_seconds() * 1000)
+    return RelayedRefusal(refusal.reason.value, retry_after, refusal.detail)
+
+
 async def _send_result(result: _RelayResult, sink: FrameSink) -> None:
     """Send what was not sent as a stream."""
     if isinstance(result, UpstreamAnswer):
@@ -190,12 +238,7 @@
         await sink.write(result.body)
         await sink.finish()
     elif isinstance(result, Refusal):
-        retry_after = -1
-        if result.retry_after is not None:
-            retry_after = round(result.retry_after.total_seconds() * 1000)
-        await sink.send(
-            RelayedRefusal(result.reason.value, retry_after, result.detail)
-        )
+        await sink.send(_relayed_refusal(result))
     elif isinstance(result, UnknownOutcome):
         await sink.send(
             RelayedFailure(
--- a/src/bergamotshed/settings.py
+++ b/src/bergamotshed/settings.py
@@ -9,6 +9,7 @@
     'CallersSettings',
     'ControlSettings',
     'EnginesSettings',
+    'LimitsSettings',
     'OperatorsSettings',
     'PeersSettings',
     'PlatformSettings',
@@ -39,6 +40,10 @@
 
 MAX_BODY_BYTES = 1 << 26
 MAX_WEIGHTS_RATE_PER_S = 1000
+MIN_MEMORY_MB = 64
+MAX_MEMORY_MB = 1 << 20
+#: The memory of the smallest VM.
+DEFAULT_MEMORY_MB = 430
 MIN_TOKEN_KEY_BYTES = 16
 LOOPBACK = '127.0.0.1'
 PORT = Port()
@@ -150,6 +155,19 @@
     idle_timeout: timedelta = option(Duration(), default=timedelta(seconds=15))
 
 
+@dataclass(frozen=True, slots=True)
+class LimitsSettings:
+    """What the process may use.
+
+    :ivar memory_mb: memory in megabytes; the VM's own if that is less. What
+        clients send is refused before it exceeds their part of it.
+    """
+
+    memory_mb: int = option(
+        Integer(MIN_MEMORY_MB, MAX_MEMORY_MB), default=DEFAULT_MEMORY_MB
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class SecuritySettings:
     """Secrets that all routers share.
@@ -172,6 +190,7 @@
     operators: OperatorsSettings = field(default_factory=OperatorsSettings)
     control: ControlSettings = field(default_factory=ControlSettings)
     engines: EnginesSettings = field(default_factory=EnginesSettings)
+    limits: LimitsSettings = field(default_factory=LimitsSettings)
     security: SecuritySettings = field(default_factory=SecuritySettings)
 
 
--- a/src/bergamotshed/sockets.py
+++ b/src/bergamotshed/sockets.py
@@ -26,6 +26,9 @@
 #: Connections that may wait to be accepted: as many as callers open during
 #: the second in which a process starts. The kernel's own limit is the same.
 BACKLOG = 4096
+#: Bytes that the kernel keeps of a connection until they are read. Its own
+#: limit grows with the connection, to megabytes.
+RECEIVE_BUFFER_BYTES = 65_536
 #: How long sent data may stay unacknowledged before the kernel closes the
 #: connection.
 UNACKNOWLEDGED_LIMIT = timedelta(milliseconds=2500)
@@ -94,6 +97,10 @@
     host, _, port = address.rpartition(':')
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit it.
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
     try:
         listener.bind((host, int(port)))
     except OSError:
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -46,6 +46,7 @@
 from bergamotshed.routing.view import FleetView, RouterNode
 from bergamotshed.services.client import HttpServiceClient
 from bergamotshed.upstreams.pool import ConnectionPool, PoolOptions
+from tests.intake.support import make_intake
 from tests.standins.base import StandIn
 from tests.standins.engine import EngineStandIn
 from tests.standins.plain import PlainStandIn
@@ -267,7 +268,7 @@
             max_body_bytes=max_body_bytes,
             read_timeout=read_timeout,
         )
-        server = CallersServer('127.0.0.1', 0, app)
+        server = CallersServer('127.0.0.1', 0, app, make_intake(clock))
         await server.start()
         stack.push_async_callback(server.stop)
         stack.push_async_callback(chat.drain)
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -6,6 +6,7 @@
 from bergamotshed.operators.server import HealthReport, OperatorsServer
 from bergamotshed.process.journal import Journal
 from bergamotshed.process.metrics import Meters, Sample
+from tests.intake.support import make_intake
 
 
 def message(task: str, **facts: object) -> dict[str, object]:
@@ -33,6 +34,7 @@
             'router-1', False, 'serving', -1, 'no configuration'
         ),
         journal,
+        make_intake(),
         meters.exposition,
         lambda request: [f'{request} went to e1'],
     )
