--- a/src/bergamotshed/routers/inbox.py
+++ b/src/bergamotshed/routers/inbox.py
@@ -23,7 +23,8 @@
 from .messages import AnswerFailed, AnswerPending, CancelQuestion, Message
 from .options import (
     FRAME_OVERHEAD_BYTES,
-    MAX_FRAME_BYTES,
+    HANDSHAKE_TIMEOUT_MS,
+    MAX_QUESTION_BYTES,
     RECEIVE_QUEUE_MESSAGES,
     SEND_QUEUE_MESSAGES,
 )
@@ -217,7 +218,8 @@
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
-    socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_QUESTION_BYTES)
+    socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
     # A restarted router takes over its identity from its old connection.
     socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
     socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
--- a/src/bergamotshed/routers/options.py
+++ b/src/bergamotshed/routers/options.py
@@ -7,7 +7,9 @@
 
 __all__ = (
     'FRAME_OVERHEAD_BYTES',
+    'HANDSHAKE_TIMEOUT_MS',
     'MAX_FRAME_BYTES',
+    'MAX_QUESTION_BYTES',
     'MAX_RECONNECT_MS',
     'MIN_RECONNECT_MS',
     'RECEIVE_QUEUE_MESSAGES',
@@ -25,6 +27,13 @@
 #: Largest frame that is accepted.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
+#: Largest question or notice; only answers are longer.
+MAX_QUESTION_BYTES = 1_048_576
+
+#: How long a connection may take until its greeting and its handshake have
+#: arrived.
+HANDSHAKE_TIMEOUT_MS = 1000
+
 #: ZeroMQ's header of a short frame.
 FRAME_OVERHEAD_BYTES = 2
 
