--- a/src/bergamotshed/routers/inbox.py
+++ b/src/bergamotshed/routers/inbox.py
@@ -19,6 +19,7 @@
 import zmq
 from zmq.asyncio import Context, Socket
 
+from ..sockets import RECEIVE_BUFFER_BYTES
 from .errors import PeerMessageError
 from .messages import AnswerFailed, AnswerPending, CancelQuestion, Message
 from .options import (
@@ -218,6 +219,7 @@
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+    socket.setsockopt(zmq.RCVBUF, RECEIVE_BUFFER_BYTES)
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_QUESTION_BYTES)
     socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
     # A restarted router takes over its identity from its old connection.
--- a/src/bergamotshed/routers/options.py
+++ b/src/bergamotshed/routers/options.py
@@ -21,14 +21,14 @@
 #: Queue length of outgoing messages per peer; more are dropped and counted.
 SEND_QUEUE_MESSAGES = 1000
 
-#: Queue length of received messages from all peers.
-RECEIVE_QUEUE_MESSAGES = 10000
+#: Queue length of messages received from each peer.
+RECEIVE_QUEUE_MESSAGES = 1000
 
 #: Largest frame that is accepted.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 #: Largest question or notice; only answers are longer.
-MAX_QUESTION_BYTES = 1_048_576
+MAX_QUESTION_BYTES = 524_288
 
 #: How long a connection may take until its greeting and its handshake have
 #: arrived.
--- a/src/bergamotshed/sockets.py
+++ b/src/bergamotshed/sockets.py
@@ -8,6 +8,7 @@
 
 __all__ = (
     'BACKLOG',
+    'RECEIVE_BUFFER_BYTES',
     'Listeners',
     'enable_keepalive',
     'keepalive_socket',
