--- a/src/bergamotshed/platform/configuration.py
+++ b/src/bergamotshed/platform/configuration.py
@@ -129,7 +129,8 @@
             for tenant in tenants
             for key in tenant.api_keys
         },
-        requires_key=bool(tenants),
+        # An empty list means that no key is valid.
+        requires_key=body.tenants is not None,
         limits=_limits(body.limits),
     )
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,4 +1,5 @@
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 import pytest
@@ -86,6 +87,22 @@
     assert not routing_data.requires_key
 
 
+@pytest.mark.parametrize(
+    ('body', 'requires_key'),
+    [
+        ({'version': 1}, False),
+        ({'version': 1, 'tenants': []}, True),
+        ({'version': 1, 'tenants': [{'name': 'o', 'api_keys': []}]}, True),
+    ],
+)
+def test_an_empty_list_of_tenants_allows_no_key(
+    body: dict[str, Any], requires_key: bool
+) -> None:
+    routing_data = DECODER.decode(msgspec.json.encode(body))
+    assert routing_data.requires_key is requires_key
+    assert not routing_data.keys
+
+
 @pytest.mark.parametrize(
     'value', [b'', b'{', b'[]', b'{"version":"x"}', b'{"routes":[]}']
 )
