--- a/src/bergamotshed/edge/server.py
+++ b/src/bergamotshed/edge/server.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
+from typing import cast
 
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
@@ -25,7 +26,7 @@
 from ..forwarding.forwarder import Forwarder, ForwardingResult
 from ..forwarding.types import StreamedAnswer, UnknownOutcome, UpstreamAnswer
 from ..intake.bodies import BodyFlaw, read_request_body
-from ..intake.connection import guard
+from ..intake.connection import GuardedConnection, guard
 from ..intake.intake import Intake
 from ..process.requests import RequestMetrics
 from ..reasons import Reason, Refusal
@@ -109,6 +110,14 @@
             keepalive_timeout=options.idle_timeout.total_seconds(),
         )
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether any answer has not been handed to the kernel whole."""
+        return any(
+            cast(GuardedConnection, connection).is_answering
+            for connection in self._server.connections
+        )
+
     async def start(
         self, listening_socket: socket.socket | None = None
     ) -> None:
--- a/src/bergamotshed/gateway/main.py
+++ b/src/bergamotshed/gateway/main.py
@@ -152,7 +152,7 @@
         seconds=gateway.settings.directory.lifetime_s * MIN_DRAIN_LIFETIMES
     )
     while gateway.shutdown.remaining > timedelta(0):
-        if gateway.shutdown.elapsed >= min_drain and not gateway.in_flight:
+        if gateway.shutdown.elapsed >= min_drain and not gateway.is_answering:
             break
         await gateway.clock.sleep(POLL_INTERVAL)
     await _end_requests(gateway)
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -99,6 +99,11 @@
         """Return the number of requests of callers and peers."""
         return self.edge.in_flight + self.relay.in_flight
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether answers to callers or peers are not sent whole yet."""
+        return bool(self.in_flight) or self.edge.is_answering
+
     def is_ready(self) -> bool:
         """Return whether requests are accepted."""
         return not self.unready_reason
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import signal
+import socket
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -16,7 +17,7 @@
 from tests.standins.rawupstream import RawRequest, RawUpstream, sealed_answer
 from tests.waiting import until
 
-from .support import RawResponse, Script, send_request
+from .support import HOST, KEY, RawResponse, Script, send_request
 from .test_process import GatewayProcess, gateway_process, publish
 
 pytestmark = pytest.mark.processes
@@ -28,6 +29,15 @@
 TIMEOUT_MS = 400
 WORK_S = 0.35
 INTERVAL_S = 0.01
+#: Size of an answer, how long a slow caller waits until it reads it, and when
+#: it asks for it: shortly before a stop may end.
+LARGE_BYTES = 250_000
+READ_PAUSE_S = 0.5
+LATE_S = 0.8
+REQUEST_HEAD = (
+    'POST /once/a HTTP/1.1\r\nHost: {host}\r\nAuthorization: Bearer {key}\r\n'
+    'Bergamotshed-Attempt-Id: a1\r\nConnection: close\r\n\r\n'
+)
 #: Stated by the users: time after which a request must not be cut that no
 #: upstream got.
 LOSS_SLACK_S = 0.2
@@ -163,6 +173,41 @@
         assert not stop.lost
 
 
+async def large(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(sealed_answer(request, b'z' * LARGE_BYTES))
+
+
+async def read_slowly(port: int) -> int:
+    """Return how many bytes of an answer's body arrive at a slow caller."""
+    caller = socket.socket()
+    # The kernel of neither side holds much of the answer.
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, ('127.0.0.1', port))
+    head = REQUEST_HEAD.format(host=HOST, key=KEY).encode()
+    await loop.sock_sendall(caller, head)
+    await asyncio.sleep(READ_PAUSE_S)
+    received = bytearray()
+    with caller, suppress(ConnectionError):
+        while piece := await loop.sock_recv(caller, 2048):
+            received += piece
+    return len(bytes(received).partition(b'\r\n\r\n')[2])
+
+
+async def test_answers_that_are_still_sent_in_a_planned_stop_are_whole(
+    tmp_path: Path,
+) -> None:
+    # The process ended once its requests had been answered, but not yet sent.
+    async with serving_gateway(tmp_path, large) as stop:
+        stop.terminate()
+        await asyncio.sleep(LATE_S)
+        port = stop.gateway.ports['callers']
+        sizes = await asyncio.gather(*(read_slowly(port) for _ in range(8)))
+        assert sizes == [LARGE_BYTES] * 8
+
+
 @pytest.mark.parametrize('path', ['/once/a', '/twice/a'])
 async def test_requests_of_any_length_are_answered_in_a_planned_stop(
     path: str, tmp_path: Path
