--- a/src/bergamotshed/edge/server.py
+++ b/src/bergamotshed/edge/server.py
@@ -14,7 +14,6 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
-from typing import cast
 
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
@@ -26,7 +25,7 @@
 from ..forwarding.forwarder import Forwarder, ForwardingResult
 from ..forwarding.types import StreamedAnswer, UnknownOutcome, UpstreamAnswer
 from ..intake.bodies import BodyFlaw, read_request_body
-from ..intake.connection import GuardedConnection, guard
+from ..intake.connection import guard
 from ..intake.intake import Intake
 from ..process.requests import RequestMetrics
 from ..reasons import Reason, Refusal
@@ -112,9 +111,10 @@
 
     @property
     def is_answering(self) -> bool:
-        """Return whether any answer has not been handed to the kernel whole."""
-        return any(
-            cast(GuardedConnection, connection).is_answering
+        """Return whether any answer is not made or not sent whole."""
+        return self.in_flight > 0 or any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size() > 0
             for connection in self._server.connections
         )
 
--- a/src/bergamotshed/gateway/parts.py
+++ b/src/bergamotshed/gateway/parts.py
@@ -102,7 +102,7 @@
     @property
     def is_answering(self) -> bool:
         """Return whether answers to callers or peers are not sent whole yet."""
-        return bool(self.in_flight) or self.edge.is_answering
+        return self.edge.is_answering or self.relay.in_flight > 0
 
     def is_ready(self) -> bool:
         """Return whether requests are accepted."""
--- a/src/bergamotshed/intake/connection.py
+++ b/src/bergamotshed/intake/connection.py
@@ -82,14 +82,6 @@
         self._costs = RequestCosts()
         self._resume_timer: asyncio.TimerHandle | None = None
 
-    @property
-    def is_answering(self) -> bool:
-        """Return whether an answer is being made or waits to be sent."""
-        if self._request_in_progress:
-            return True
-        transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
-
     def reserve(self, size: int) -> bool:
         """Count memory for the request that is handled, until its end.
 
