--- a/src/bergamotshed/callers/parse.py
+++ b/src/bergamotshed/callers/parse.py
@@ -20,9 +20,13 @@
 from ..decoding import DECODE_ERRORS
 from ..dispatch.types import CallOptions, ChatCall, PlainCall
 from ..engines.types import ChatMessage
-from ..intake.bodies import BodyFlaw, read_request_body
+from ..intake.bodies import (
+    MEMORY_RETRY_AFTER,
+    BodyFlaw,
+    read_request_body,
+)
 from ..reasons import Reason
-from .errors import HTTP_BAD_REQUEST, BadRequest, RequestRefused
+from .errors import BadRequest, RequestRefused
 from .placement_tokens import PlacementTokens
 
 DEFAULT_DEADLINE = timedelta(seconds=60)
@@ -36,17 +40,8 @@
 REQUEST_ID_BYTES = 12
 DEFAULT_CONTENT_TYPE = 'application/json'
 
-HTTP_REQUEST_TIMEOUT = 408
-HTTP_CONTENT_TOO_LARGE = 413
-_FLAW_STATUSES = {
-    BodyFlaw.TOO_LARGE: HTTP_CONTENT_TOO_LARGE,
-    BodyFlaw.TOO_SLOW: HTTP_REQUEST_TIMEOUT,
-    BodyFlaw.MALFORMED: HTTP_BAD_REQUEST,
-}
 #: A request is held as received, decoded, and encoded for its engine.
 REQUEST_COST_FACTOR = 3
-#: When a caller whose body found no memory may come back.
-MEMORY_RETRY_AFTER = timedelta(seconds=1)
 
 _TokenCount = Annotated[int, Meta(ge=1, le=MAX_TOKENS)]
 
@@ -172,7 +167,7 @@
                 Reason.OVERLOADED, MEMORY_RETRY_AFTER, body.value
             )
         if isinstance(body, BodyFlaw):
-            raise BadRequest(body.value, _FLAW_STATUSES[body])
+            raise BadRequest(body.value, body.status)
         return body
 
 
--- a/src/bergamotshed/callers/server.py
+++ b/src/bergamotshed/callers/server.py
@@ -22,7 +22,6 @@
 from .errors import HTTP_UNAVAILABLE, failure_response
 from .head_timeouts import HeadTimeouts
 
-KEEPALIVE_S = 75.0
 STOPPING_RETRY_AFTER = timedelta(seconds=1)
 
 
@@ -93,7 +92,6 @@
             server,
             self._intake,
             on_lost=self._head_timeouts.stop_timer,
-            keepalive_timeout=KEEPALIVE_S,
         )()
         self._head_timeouts.start_timer(connection)
         return connection
--- a/src/bergamotshed/edge/info_server.py
+++ b/src/bergamotshed/edge/info_server.py
@@ -31,8 +31,6 @@
 JSON_TYPE = 'application/json'
 #: How long open connections may take to close at shutdown.
 CLOSE_TIMEOUT_S = 0.1
-#: How long a client's idle connection is kept open.
-IDLE_TIMEOUT_S = 75.0
 
 
 class EntryAddresses(msgspec.Struct):
@@ -97,12 +95,7 @@
         self._pages = pages
         self._listener: asyncio.Server | None = None
         self._server = web.Server(self._handle)
-        self._connect = guard(
-            self._server,
-            intake,
-            auto_decompress=False,
-            keepalive_timeout=IDLE_TIMEOUT_S,
-        )
+        self._connect = guard(self._server, intake, auto_decompress=False)
 
     async def start(
         self, listening_socket: socket.socket | None = None
--- a/src/bergamotshed/edge/server.py
+++ b/src/bergamotshed/edge/server.py
@@ -24,7 +24,11 @@
 from ..forwarding.dialect import Dialect, RequestMalformed
 from ..forwarding.forwarder import Forwarder, ForwardingResult
 from ..forwarding.types import StreamedAnswer, UnknownOutcome, UpstreamAnswer
-from ..intake.bodies import BodyFlaw, read_request_body
+from ..intake.bodies import (
+    MEMORY_RETRY_AFTER,
+    BodyFlaw,
+    read_request_body,
+)
 from ..intake.connection import guard
 from ..intake.intake import Intake
 from ..process.requests import RequestMetrics
@@ -47,13 +51,6 @@
 CLOSE_TIMEOUT_S = 0.1
 #: How long a body may take to arrive, independent of the caller's deadline.
 BODY_TIMEOUT = timedelta(seconds=10)
-#: When a caller whose body found no memory may come back.
-MEMORY_RETRY_AFTER = timedelta(seconds=1)
-_FLAW_STATUSES = {
-    BodyFlaw.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    BodyFlaw.TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
-    BodyFlaw.MALFORMED: HTTPStatus.BAD_REQUEST,
-}
 #: How long after its start the server reads requests that arrived before it:
 #: some tens of iterations of the event loop.
 CATCH_UP_TIME = timedelta(milliseconds=100)
@@ -106,7 +103,7 @@
             self._server,
             intake,
             auto_decompress=False,
-            keepalive_timeout=options.idle_timeout.total_seconds(),
+            idle_timeout=options.idle_timeout,
         )
 
     @property
@@ -216,7 +213,8 @@
         return self._build_response(result, sink)
 
     async def _read_body(self, request: BaseRequest) -> bytes | BodyFlaw:
-        if request.headers.get('Expect', '').lower() == '100-continue':
+        expectation = request.headers.get('Expect', '').lower()
+        if request.body_exists and expectation == '100-continue':
             await request.writer.write(CONTINUE)
             request.writer.output_size = 0
         return await read_request_body(
@@ -275,9 +273,8 @@
 
 def _flaw_response(flaw: BodyFlaw) -> web.Response:
     """Return the response to a request whose body was not read."""
-    status = _FLAW_STATUSES.get(flaw)
-    if status is not None:
-        return bad_request_response(status, flaw.value)
+    if flaw is not BodyFlaw.NO_MEMORY:
+        return bad_request_response(flaw.status, flaw.value)
     response = refusal_response(
         Refusal(Reason.OVERLOADED, MEMORY_RETRY_AFTER, flaw.value)
     )
--- a/src/bergamotshed/intake/bodies.py
+++ b/src/bergamotshed/intake/bodies.py
@@ -5,11 +5,12 @@
 Reads the bodies of requests, up to a limit and as far as there is memory.
 """
 
-__all__ = ('BodyFlaw', 'read_request_body')
+__all__ = ('MEMORY_RETRY_AFTER', 'BodyFlaw', 'read_request_body')
 
 import asyncio
 import enum
 from datetime import timedelta
+from http import HTTPStatus
 
 from aiohttp import ClientError, web
 from aiohttp.web_request import BaseRequest
@@ -18,16 +19,31 @@
 
 #: Memory for a body without a length is counted in steps.
 STEP_BYTES = 65_536
+#: When a client whose body found no memory may come back.
+MEMORY_RETRY_AFTER = timedelta(seconds=1)
 
 
 class BodyFlaw(enum.Enum):
-    """Why a body was not read to its end."""
+    """Why a body was not read to its end, in words and as an HTTP status."""
 
     TOO_LARGE = 'the body is too large'
     TOO_SLOW = 'the body did not arrive in time'
     NO_MEMORY = 'no memory for the body'
     MALFORMED = 'the body is malformed or incomplete'
 
+    @property
+    def status(self) -> HTTPStatus:
+        """Return the status of the answer to such a request."""
+        return _STATUSES[self]
+
+
+_STATUSES = {
+    BodyFlaw.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    BodyFlaw.TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
+    BodyFlaw.NO_MEMORY: HTTPStatus.SERVICE_UNAVAILABLE,
+    BodyFlaw.MALFORMED: HTTPStatus.BAD_REQUEST,
+}
+
 
 async def read_request_body(
     request: BaseRequest, limit: int, timeout: timedelta, cost_factor: int = 1
--- a/src/bergamotshed/intake/connection.py
+++ b/src/bergamotshed/intake/connection.py
@@ -12,6 +12,7 @@
 import asyncio
 import traceback
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from functools import partial
 from typing import Any, cast
 
@@ -30,8 +31,12 @@
 READ_AHEAD_BYTES = 65_536
 #: How long the rest of a body is skipped after an early answer.
 LINGERING_S = 1.0
+#: How long an idle connection is kept open.
+IDLE_TIMEOUT = timedelta(seconds=75)
 #: Pause of a client that pipelines while memory is short.
 MEMORY_PAUSE_S = 1.0
+#: Characters of an error that are logged.
+MAX_DETAIL = 200
 HEAD_TOO_LARGE = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
@@ -56,6 +61,7 @@
     :param server: handles its requests
     :param intake: the account of all connections of the process
     :param on_lost: called with the connection when it is closed
+    :param idle_timeout: how long it is kept open between requests
     :param options: further options of the library
     """
 
@@ -64,11 +70,13 @@
         server: web.Server,
         intake: Intake,
         on_lost: Callable[[web.RequestHandler], None] | None = None,
+        idle_timeout: timedelta = IDLE_TIMEOUT,
         **options: Any,
     ) -> None:
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
+            keepalive_timeout=idle_timeout.total_seconds(),
             lingering_time=LINGERING_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
@@ -134,8 +142,11 @@
     def log_exception(self, *_args: Any, **options: Any) -> None:
         """Count a malformed request; log any other failure of a handler."""
         error = options.get('exc_info')
+        if isinstance(error, GaveWay):
+            # Counted when it gave way.
+            return
         if isinstance(error, (HttpProcessingError, web.RequestPayloadError)):
-            self._intake.count_refusal('malformed')
+            self._intake.count_refusal('malformed', repr(error)[:MAX_DETAIL])
         else:
             log_message('request.broke', failure=traceback.format_exc())
 
--- a/src/bergamotshed/intake/intake.py
+++ b/src/bergamotshed/intake/intake.py
@@ -190,10 +190,11 @@
             account.held_bytes -= size
             self.held_bytes -= size
 
-    def count_refusal(self, reason: str) -> None:
+    def count_refusal(self, reason: str, detail: str = '') -> None:
         """Count a refused connection or request, with a log line now and then.
 
         :param reason: name of the limit
+        :param detail: what was wrong with this one
         """
         self.refusals[reason] += 1
         total = self.refusals[reason]
@@ -205,6 +206,7 @@
         log_message(
             'intake.refused',
             reason=reason,
+            detail=detail,
             count=total - logged_total,
             connections=self.connections,
             held_bytes=self.held_bytes,
--- a/src/bergamotshed/operators/server.py
+++ b/src/bergamotshed/operators/server.py
@@ -25,8 +25,6 @@
 
 EXPOSITION_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 SHUTDOWN_TIMEOUT_S = 1
-#: How long an operator's idle connection is kept open.
-IDLE_TIMEOUT_S = 75.0
 EXPLAIN_PARAMETERS = frozenset(('request', 'engine'))
 
 Provider = Callable[[], object]
@@ -124,7 +122,6 @@
                 cast(web.Server, self._runner.server),
                 self._intake,
                 auto_decompress=False,
-                keepalive_timeout=IDLE_TIMEOUT_S,
             ),
             sock=listen(f'{self._host}:{self._port}'),
         )
--- a/src/bergamotshed/routers/relayserver.py
+++ b/src/bergamotshed/routers/relayserver.py
@@ -30,7 +30,11 @@
     UnknownOutcome,
     UpstreamAnswer,
 )
-from ..intake.bodies import BodyFlaw, read_request_body
+from ..intake.bodies import (
+    MEMORY_RETRY_AFTER,
+    BodyFlaw,
+    read_request_body,
+)
 from ..intake.connection import guard
 from ..intake.intake import Intake
 from ..reasons import Reason, Refusal
@@ -53,12 +57,8 @@
 REQUEST_COST_FACTOR = 2
 #: How long a request may take to arrive.
 REQUEST_TIMEOUT = timedelta(seconds=10)
-#: How long a peer's idle connection is kept open.
-IDLE_TIMEOUT_S = 75.0
 #: How long requests in flight may take at shutdown.
 CLOSE_TIMEOUT_S = 60
-#: When a peer whose request found no memory may come back.
-MEMORY_RETRY_AFTER = timedelta(seconds=1)
 
 _RelayResult = UpstreamAnswer | StreamedAnswer | Refusal | UnknownOutcome
 
@@ -135,12 +135,7 @@
         # Accepted connections inherit the options.
         enable_keepalive(listener)
         self._listener = await asyncio.get_running_loop().create_server(
-            guard(
-                self._server,
-                self._intake,
-                auto_decompress=False,
-                keepalive_timeout=IDLE_TIMEOUT_S,
-            ),
+            guard(self._server, self._intake, auto_decompress=False),
             sock=listener,
             backlog=BACKLOG,
         )
--- a/src/bergamotshed/sockets.py
+++ b/src/bergamotshed/sockets.py
@@ -96,7 +96,9 @@
     :raises OSError: the address is in use
     """
     host, _, port = address.rpartition(':')
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    host = host.strip('[]')
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted connections inherit it.
     listener.setsockopt(
--- a/tests/gateway/test_client_limits.py
+++ b/tests/gateway/test_client_limits.py
@@ -73,3 +73,11 @@
         assert 0 < state['held_bytes'] < state['limits']['memory_bytes']
         assert state['refusals'] == {}
         writer.close()
+
+
+async def test_a_request_without_a_body_gets_no_interim_answer() -> None:
+    async with running_gateway(fine) as env:
+        response = await send_request(
+            env.port, '/once/a', headers={'Expect': '100-continue'}
+        )
+        assert response.status == 200
