--- a/src/bergamotshed/forwarding/crash_detector.py
+++ b/src/bergamotshed/forwarding/crash_detector.py
@@ -9,7 +9,6 @@
 __all__ = ('CrashDetector', 'RequestTraits', 'request_traits')
 
 import asyncio
-from collections import OrderedDict
 from dataclasses import dataclass
 from functools import partial
 
@@ -28,9 +27,6 @@
 from .types import RoutedRequest
 from .unproven_crashes import CutAnswer, UnprovenCrashes
 
-#: Maximum number of fingerprints of answered requests that are kept.
-MAX_REMEMBERED = 4096
-
 
 @dataclass(frozen=True, slots=True)
 class RequestTraits:
@@ -62,28 +58,17 @@
         self.unproven = UnprovenCrashes(registry, self._probes, clock)
         self._clock = clock
         self._tasks: set[asyncio.Task[None]] = set()
-        self._successes: OrderedDict[int, None] = OrderedDict()
 
     def admits(self, traits: RequestTraits) -> bool:
-        """Return whether a request may be sent to an upstream.
-
-        A request that was answered since its crashes only ran beside one that
-        causes them.
-        """
+        """Return whether a request may be sent to an upstream."""
         status = self._quarantine.status(traits.fingerprint)
-        is_harmful = status is FingerprintStatus.QUARANTINED
-        if is_harmful and traits.fingerprint not in self._successes:
+        if status is FingerprintStatus.QUARANTINED:
             return False
         return self._quarantine.parts.admits(traits.parts)
 
     def record_answer(self, traits: RequestTraits) -> None:
         """Record that a request was answered, even if by an error."""
-        status = self._quarantine.status(traits.fingerprint)
-        if status is FingerprintStatus.CLEAR:
-            return
-        self._successes[traits.fingerprint] = None
-        if len(self._successes) > MAX_REMEMBERED:
-            self._successes.popitem(last=False)
+        self._quarantine.record_answer(traits.fingerprint)
 
     def record_begun(self, traits: RequestTraits) -> None:
         """Record that an upstream has begun to answer a request."""
--- a/src/bergamotshed/routing/quarantine.py
+++ b/src/bergamotshed/routing/quarantine.py
@@ -8,6 +8,7 @@
 
 __all__ = ('Crash', 'CrashReport', 'FingerprintStatus', 'Quarantine')
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
@@ -21,6 +22,8 @@
 
 DEFAULT_CRASH_LIMIT = 2
 DEFAULT_TTL = timedelta(hours=1)
+#: Fingerprints of answered requests that are kept.
+MAX_ANSWERED = 4096
 
 
 class FingerprintStatus(Enum):
@@ -35,8 +38,9 @@
     """Judges requests by the crashes at which they were in flight: as a whole,
     by their fingerprints, and by their parts.
 
-    The result depends only on the set of crash reports, so routers with the
-    same reports agree, whatever the order in which they arrived.
+    The result depends only on the set of crash reports and on the requests that
+    were answered here since, so routers with the same ones agree, whatever the
+    order in which they arrived.
 
     :param limit: distinct crashes that quarantine a fingerprint
     :param ttl: how long the crashes of a fingerprint are remembered
@@ -55,6 +59,7 @@
         self._limit = limit
         self._crashes = CrashTable(clock, ttl)
         self._holds = FingerprintHolds(clock)
+        self._answered: OrderedDict[int, None] = OrderedDict()
         self._suspects: frozenset[int] = frozenset()
         self._quarantined: frozenset[int] = frozenset()
         self._listeners: list[Callable[[CrashReport], None]] = []
@@ -122,9 +127,23 @@
             parts=tuple(PartSighting(part, sent_age) for part in parts),
         )
         if self.merge((report,)):
-            self._notify(report)
+            _notify(self._listeners, report)
         return self.status(fingerprint)
 
+    def record_answer(self, fingerprint: int) -> None:
+        """Record that a request was answered, even if by an error.
+
+        If it was in flight at crashes before, it only ran beside the request
+        that causes them, and explains none of them.
+        """
+        if self.status(fingerprint) is FingerprintStatus.CLEAR:
+            return
+        if fingerprint not in self._answered:
+            self._answered[fingerprint] = None
+            if len(self._answered) > MAX_ANSWERED:
+                self._answered.popitem(last=False)
+            self._update()
+
     @contextmanager
     def record_possible_crash(
         self, fingerprint: int, crash: Crash, cut_at: float
@@ -134,7 +153,10 @@
         :param cut_at: when a request was cut, in monotonic seconds
         """
         with self._crashes.investigating(crash, cut_at):
-            self._notify(CrashReport(crash, (fingerprint,), pending=True))
+            _notify(
+                self._listeners,
+                CrashReport(crash, (fingerprint,), pending=True),
+            )
             yield
 
     def merge(self, reports: Iterable[CrashReport]) -> int:
@@ -149,10 +171,6 @@
         self._expire()
         return (*self._crashes.reports(), *self.parts.reports())
 
-    def _notify(self, report: CrashReport) -> None:
-        for listener in self._listeners:
-            listener(report)
-
     def _merge_one(self, report: CrashReport) -> bool:
         change = self._holds.add if report.pending else self._holds.lift
         for fingerprint in report.fingerprints:
@@ -169,4 +187,14 @@
     def _update(self) -> None:
         crashes = self._crashes.fingerprint_sets
         self._suspects = frozenset().union(*crashes)
-        self._quarantined = attribute_crashes(crashes, self._limit)
+        answered = self._answered.keys()
+        self._quarantined = attribute_crashes(
+            [fingerprints - answered for fingerprints in crashes], self._limit
+        )
+
+
+def _notify(
+    listeners: Iterable[Callable[[CrashReport], None]], report: CrashReport
+) -> None:
+    for listener in listeners:
+        listener(report)
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -15,6 +15,7 @@
 from bergamotshed.routing.crashes import MAX_CRASHES
 from bergamotshed.routing.fingerprint_holds import MAX_HOLD_DURATION
 from bergamotshed.routing.quarantine import (
+    MAX_ANSWERED,
     Crash,
     CrashReport,
     FingerprintStatus,
@@ -199,3 +200,42 @@
     clock.advance(MAX_HOLD_DURATION)
     assert not there.is_held(2)
     assert there.status(2) is FingerprintStatus.CLEAR
+
+
+@pytest.mark.parametrize('crashes', [3, 5])
+def test_a_lookup_beside_each_crash_does_not_hide_its_cause(
+    crashes: int,
+) -> None:
+    # The lookup was also at a crash of another cause, so it explained all.
+    router = Quarantine(ManualClock(), limit=3, ttl=TTL)
+    lookup = 99
+    router.record_crash(lookup, Crash('e9', 'a'), 0, 0)
+    for number in range(crashes):
+        crash = Crash('e0', str(number))
+        for fingerprint in (POISON, lookup):
+            router.record_crash(fingerprint, crash, 0, 0)
+        router.record_answer(lookup)
+    assert router.status(POISON) is FingerprintStatus.QUARANTINED
+    assert router.status(lookup) is FingerprintStatus.SUSPECT
+
+
+def test_a_request_that_was_answered_since_its_crashes_is_not_quarantined() -> (
+    None
+):
+    router, _ = quarantine()
+    for number in range(3):
+        router.record_crash(1, Crash('e0', str(number)), 0, 0)
+    assert router.quarantined == {1}
+    router.record_answer(1)
+    assert not router.quarantined
+
+
+def test_the_memory_of_answered_requests_is_bounded() -> None:
+    router, _ = quarantine()
+    for fingerprint in range(MAX_ANSWERED + 10):
+        router.record_crash(fingerprint, Crash('e0', 'a'), 0, 0)
+    for fingerprint in range(MAX_ANSWERED + 10):
+        router.record_answer(fingerprint)
+    for number in range(3):
+        router.record_crash(0, Crash('e1', str(number)), 0, 0)
+    assert router.quarantined == {0}
