--- a/tests/crowds/forms.py
+++ b/tests/crowds/forms.py
@@ -239,6 +239,9 @@
     'long frames of a message without end': _bare_form(
         ZMTP_START, _frame(b'z' * MEGABYTE, LONG | MORE)
     ),
+    'medium frames of a message without end': _bare_form(
+        ZMTP_START, _frame(b'z' * (MEGABYTE // 4), LONG | MORE)
+    ),
     'short frames of a message without end': _bare_form(
         ZMTP_START, _frame(b'z', MORE) * BLOCK
     ),
